Prove the request promises by a fault matrix and real processes

Cause: nothing showed that the promises hold under faults. Change: an in-memory network and rig under testing/synctest run every fault at every step of a request, alone and in pairs; participants with views, gossip and a table do the same for configuration and orders; real processes are killed, stopped and cut off behind a relay. A naive balancer under the same schedules runs bookings twice, says not run of what ran, and overloads cold endpoints, so the checks can fail.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 	go build -o bin/standin ./cmd/standin
 
 test:
-	go test -count=1 ./...
+	go test -count=1 $$(go list ./... | grep -v internal/system)
+	go test -count=1 ./internal/system
 
 lint:
 	./scripts/lint.sh
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -44,7 +44,7 @@
 // client is the operators' connection to the system.
 type client struct {
 	settings *settings.Settings
-	identity *identity.Identity
+	dialer   *peer.Dialer
 	intent   *platform.Intent
 }
 
@@ -58,7 +58,7 @@
 		return nil, err
 	}
 	p := platform.NewClient(s.Platform.TableAddress, s.Platform.ObjectAddress, s.Platform.InstanceListAddress)
-	return &client{settings: s, identity: id, intent: platform.NewIntent(p, p)}, nil
+	return &client{settings: s, dialer: peer.NewDialer(id), intent: platform.NewIntent(p, p)}, nil
 }
 
 // privateKey reads the operator's signing key.
@@ -79,7 +79,7 @@
 	var none T
 	var last error
 	for _, at := range k.settings.Seeds {
-		conn, err := peer.Dial(at, k.identity)
+		conn, err := k.dialer.Dial(at)
 		if err != nil {
 			last = err
 			continue
--- a/internal/connection/caller/journey.go
+++ b/internal/connection/caller/journey.go
@@ -30,9 +30,13 @@
 	// resumeTries bounds the waiting for a new stream before the attempt's
 	// state is asked for again.
 	resumeTries = 20
-	// retryPause is the pause before a further attempt when no endpoint is
-	// eligible.
-	retryPause = 50 * time.Millisecond
+	// endpointPoll is the time between two looks for an eligible endpoint.
+	endpointPoll = 20 * time.Millisecond
+	// endpointWait bounds the time that one request waits for an eligible
+	// endpoint. It covers the replacement of a silent or cut connection.
+	endpointWait = 4 * time.Second
+	// waitersLimit bounds the requests of an entry that wait like this.
+	waitersLimit = 2048
 )
 
 // journey takes one request through its attempts.
@@ -45,6 +49,8 @@
 	attempt uint32
 	// tries counts the attempts of this entry.
 	tries int
+	// waited is the time spent waiting for an eligible endpoint.
+	waited time.Duration
 	// revision of the claim's row; 0 while there is none.
 	revision uint64
 	// mayHaveRun is true once an attempt may have reached an endpoint; from
@@ -99,6 +105,9 @@
 	if ctx.Err() != nil {
 		return j.unfinished(reason)
 	}
+	if reason == outcome.NoEndpoint {
+		return nil
+	}
 	free := retry.Free(reason)
 	if j.tries >= retry.MaxAttempts && (!free || j.tries >= freeAttempts) {
 		return j.unfinished(reason)
@@ -139,14 +148,17 @@
 	return j.attemptAt(ctx, p)
 }
 
-// waitForEndpoint gives endpoints a moment to open before refusing.
+// waitForEndpoint gives endpoints a moment to open before refusing. Then all
+// of them may be tried again.
 func (j *journey) waitForEndpoint(ctx context.Context) next {
-	j.tries++
-	j.query = j.request.query()
-	pause(ctx, retryPause)
-	if j.tries >= freeAttempts || ctx.Err() != nil {
+	waiters := &j.service.waiters
+	defer waiters.Add(-1)
+	if waiters.Add(1) > waitersLimit || j.waited >= endpointWait {
 		return done{outcome: j.unfinished(outcome.NoEndpoint)}
 	}
+	j.query = j.request.query()
+	pause(ctx, endpointPoll)
+	j.waited += endpointPoll
 	return again{reason: outcome.NoEndpoint}
 }
 
@@ -216,7 +228,7 @@
 		x.Cancel()
 		return done{outcome: outcome.Unknown{Reason: outcome.Canceled}}
 	case refused:
-		return j.afterRefusal(p, k)
+		return j.afterRefusal(ctx, p, k)
 	case broken:
 		if k.timedOut {
 			x.Cancel()
@@ -227,7 +239,10 @@
 	return done{outcome: outcome.Unknown{Reason: outcome.ConnectionLost}}
 }
 
-func (j *journey) afterRefusal(p place, r refused) next {
+func (j *journey) afterRefusal(ctx context.Context, p place, r refused) next {
+	if r.reason == outcome.AlreadyAdmitted {
+		return j.resume(ctx, p)
+	}
 	j.query.Avoid(p.target.Member)
 	if !r.mayHaveRun {
 		return again{reason: r.reason}
@@ -238,14 +253,18 @@
 // replay repeats an idempotent request whose attempt may have run, if nothing
 // of its answer went out or the route permits splicing.
 func (j *journey) replay(reason outcome.Reason) next {
-	route := j.request.route
-	if !route.Idempotent || (j.delivery.headSent && !route.Splice) {
+	if !j.mayReplay() {
 		return done{outcome: outcome.Unknown{Reason: reason}}
 	}
 	j.mayHaveRun = true
 	return again{reason: reason}
 }
 
+func (j *journey) mayReplay() bool {
+	route := j.request.route
+	return route.Idempotent && (!j.delivery.headSent || route.Splice)
+}
+
 // afterTimeout seals an attempt that is out of time: what never started did
 // not run.
 func (j *journey) afterTimeout(p place) next {
@@ -257,14 +276,15 @@
 }
 
 // settle finds out what became of an attempt whose connection broke and takes
-// the matching next step.
+// the matching next step. A sidecar that does not say is asked until the
+// deadline, unless the request can be repeated at another endpoint.
 func (j *journey) settle(ctx context.Context, p place) next {
 	for {
 		reply, err := p.target.Link.Seal(ctx, p.id, p.remote, false)
 		if err == nil {
 			return j.afterSeal(ctx, p, reply)
 		}
-		if j.request.route.Idempotent {
+		if j.mayReplay() {
 			j.query.Avoid(p.target.Member)
 			return j.replay(outcome.SealUnanswered)
 		}
--- a/internal/connection/caller/service.go
+++ b/internal/connection/caller/service.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cicadareel/cicadareel/internal/connection/sidecar"
@@ -49,6 +50,8 @@
 	budget  *retry.Budget
 	log     *events.Log
 	metrics *metrics.Metrics
+	// waiters counts the requests that wait for an eligible endpoint.
+	waiters atomic.Int64
 }
 
 // NewService returns a handler.
--- a/internal/connection/endpoint/endpoint.go
+++ b/internal/connection/endpoint/endpoint.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
@@ -75,17 +76,27 @@
 	single *http.Client
 }
 
+// Connect opens a TCP connection to the endpoint.
+type Connect func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewClient returns a client of the endpoint at the address.
 func NewClient(at netip.AddrPort) *Client {
+	var d net.Dialer
+	return NewClientOn(at, d.DialContext)
+}
+
+// NewClientOn returns a client on another network.
+func NewClientOn(at netip.AddrPort, connect Connect) *Client {
 	return &Client{
 		address: at,
-		reused:  &http.Client{Transport: newTransport(false), CheckRedirect: noRedirect},
-		single:  &http.Client{Transport: newTransport(true), CheckRedirect: noRedirect},
+		reused:  &http.Client{Transport: newTransport(connect, false), CheckRedirect: noRedirect},
+		single:  &http.Client{Transport: newTransport(connect, true), CheckRedirect: noRedirect},
 	}
 }
 
-func newTransport(single bool) *http.Transport {
+func newTransport(connect Connect, single bool) *http.Transport {
 	return &http.Transport{
+		DialContext:         connect,
 		DisableKeepAlives:   single,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idleConnections,
--- a/internal/connection/peer/clients.go
+++ b/internal/connection/peer/clients.go
@@ -1,34 +1,83 @@
 package peer
 
 import (
+	"context"
+	"net"
 	"net/netip"
 	"sync"
 
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/status"
 
 	"github.com/cicadareel/cicadareel/internal/process/identity"
 )
 
+const (
+	// streamWindow and connectionWindow are HTTP/2 flow control windows in
+	// bytes, large enough that many answers share one stream.
+	streamWindow     = 1 << 20
+	connectionWindow = 4 << 20
+	// messageLimit bounds one message in bytes; it exceeds the largest request
+	// body and a bundle of 36,000 client accounts.
+	messageLimit = 16 << 20
+)
+
+// Connect opens a TCP connection to a peer.
+type Connect func(ctx context.Context, address string) (net.Conn, error)
+
+// Dialer opens gRPC connections to peers.
+type Dialer struct {
+	credentials func() credentials.TransportCredentials
+	connect     Connect
+}
+
+// NewDialer returns a dialer that shows the process's identity.
+func NewDialer(i *identity.Identity) *Dialer {
+	return NewDialerOn(i.Client, func(ctx context.Context, address string) (net.Conn, error) {
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", address)
+	})
+}
+
+// NewDialerOn returns a dialer on another network.
+func NewDialerOn(c func() credentials.TransportCredentials, connect Connect) *Dialer {
+	return &Dialer{credentials: c, connect: connect}
+}
+
+// Dial returns a connection of its own that the caller closes.
+func (d *Dialer) Dial(at netip.AddrPort) (*grpc.ClientConn, error) {
+	conn, err := grpc.NewClient("passthrough:///"+at.String(),
+		grpc.WithTransportCredentials(d.credentials()),
+		grpc.WithContextDialer(d.connect),
+		grpc.WithInitialWindowSize(streamWindow),
+		grpc.WithInitialConnWindowSize(connectionWindow),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(messageLimit)))
+	return conn, oops.In("peer").With("address", at.String()).Wrap(err)
+}
+
+// NewGRPCServer returns a server with the windows and limits that dialers use.
+func NewGRPCServer(c credentials.TransportCredentials) *grpc.Server {
+	return grpc.NewServer(
+		grpc.Creds(c),
+		grpc.InitialWindowSize(streamWindow),
+		grpc.InitialConnWindowSize(connectionWindow),
+		grpc.MaxRecvMsgSize(messageLimit))
+}
+
 // Clients keeps one connection for each peer address in use.
 type Clients struct {
-	identity *identity.Identity
+	dialer *Dialer
 
 	mu    sync.Mutex
 	conns map[netip.AddrPort]*grpc.ClientConn
 }
 
 // NewClients returns an empty set of connections.
-func NewClients(i *identity.Identity) *Clients {
-	return &Clients{identity: i, conns: map[netip.AddrPort]*grpc.ClientConn{}}
-}
-
-// Dial opens a connection of its own that the caller closes.
-func Dial(at netip.AddrPort, i *identity.Identity) (*grpc.ClientConn, error) {
-	conn, err := grpc.NewClient("passthrough:///"+at.String(), grpc.WithTransportCredentials(i.Client()))
-	return conn, oops.In("peer").With("address", at.String()).Wrap(err)
+func NewClients(d *Dialer) *Clients {
+	return &Clients{dialer: d, conns: map[netip.AddrPort]*grpc.ClientConn{}}
 }
 
 func (c *Clients) get(at netip.AddrPort) (*grpc.ClientConn, error) {
@@ -37,7 +86,7 @@
 	if conn := c.conns[at]; conn != nil {
 		return conn, nil
 	}
-	conn, err := Dial(at, c.identity)
+	conn, err := c.dialer.Dial(at)
 	if err != nil {
 		return nil, err
 	}
@@ -56,6 +105,16 @@
 	_ = failed.Close()
 }
 
+// Close closes all connections.
+func (c *Clients) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for at, conn := range c.conns {
+		delete(c.conns, at)
+		_ = conn.Close()
+	}
+}
+
 func grpcError(err error) error {
 	return status.Error(codes.InvalidArgument, err.Error())
 }
--- a/internal/connection/platform/members.go
+++ b/internal/connection/platform/members.go
@@ -40,7 +40,7 @@
 	defer ticker.Stop()
 	for {
 		if list, err := source.List(ctx); err == nil {
-			m.set(list)
+			m.Replace(list)
 		}
 		select {
 		case <-ctx.Done():
@@ -50,7 +50,8 @@
 	}
 }
 
-func (m *Members) set(list []Instance) {
+// Replace takes a newer instance list.
+func (m *Members) Replace(list []Instance) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if equalLists(m.list, list) {
--- a/internal/connection/sidecar/calls.go
+++ b/internal/connection/sidecar/calls.go
@@ -6,7 +6,6 @@
 
 	"github.com/samber/oops"
 
-	"github.com/cicadareel/cicadareel/internal/connection/peer"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
 )
 
@@ -59,7 +58,7 @@
 // Seal asks over a fresh connection what became of an attempt and, unless
 // lookOnly, seals it. Old connections may have gone silent.
 func (k *Link) Seal(ctx context.Context, id *wire.AttemptId, told Remote, lookOnly bool) (*wire.SealReply, error) {
-	conn, err := peer.Dial(k.address, k.identity)
+	conn, err := k.dialer.Dial(k.address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/connection/sidecar/link.go
+++ b/internal/connection/sidecar/link.go
@@ -16,7 +16,6 @@
 	"github.com/cicadareel/cicadareel/internal/connection/peer"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
 	"github.com/cicadareel/cicadareel/internal/process/events"
-	"github.com/cicadareel/cicadareel/internal/process/identity"
 	"github.com/cicadareel/cicadareel/internal/process/metrics"
 	"github.com/cicadareel/cicadareel/internal/request/outcome"
 )
@@ -69,7 +68,7 @@
 	endpoint string
 	instance string
 	address  netip.AddrPort
-	identity *identity.Identity
+	dialer   *peer.Dialer
 	observer Observer
 	log      *events.Log
 	metrics  *metrics.Metrics
@@ -96,13 +95,13 @@
 }
 
 // NewLink starts connecting to the sidecar and keeps doing so until Close.
-func NewLink(endpointName, instance string, at netip.AddrPort, i *identity.Identity, o Observer, l *events.Log, m *metrics.Metrics) *Link {
+func NewLink(endpointName, instance string, at netip.AddrPort, d *peer.Dialer, o Observer, l *events.Log, m *metrics.Metrics) *Link {
 	ctx, cancel := context.WithCancel(context.Background())
 	k := &Link{
 		endpoint:  endpointName,
 		instance:  instance,
 		address:   at,
-		identity:  i,
+		dialer:    d,
 		observer:  o,
 		log:       l,
 		metrics:   m,
@@ -143,7 +142,7 @@
 
 // connect runs one stream over a connection of its own until it breaks.
 func (k *Link) connect(ctx context.Context) {
-	conn, err := peer.Dial(k.address, k.identity)
+	conn, err := k.dialer.Dial(k.address)
 	if err != nil {
 		return
 	}
--- a/internal/process/common.go
+++ b/internal/process/common.go
@@ -22,21 +22,11 @@
 	"github.com/cicadareel/cicadareel/internal/version/view"
 )
 
-const (
-	// streamWindow and connectionWindow are HTTP/2 flow control windows in
-	// bytes, large enough that many answers share one stream.
-	streamWindow     = 1 << 20
-	connectionWindow = 4 << 20
-	// messageLimit bounds one message; it exceeds the largest request body
-	// and a bundle of 36,000 client accounts.
-	messageLimit = 16 << 20
-)
-
 // Common is the shared part of entry and sidecar.
 type Common struct {
 	Settings    *settings.Settings
 	Incarnation string
-	Identity    *identity.Identity
+	Dialer      *peer.Dialer
 	Log         *events.Log
 	Metrics     *metrics.Metrics
 	Platform    *platform.Client
@@ -63,20 +53,15 @@
 	c := &Common{
 		Settings:    s,
 		Incarnation: rand.Text(),
-		Identity:    id,
+		Dialer:      peer.NewDialer(id),
 		Log:         events.NewLog(s.LogLevel, s.Instance),
 		Metrics:     m,
 		Platform:    platform.NewClient(s.Platform.TableAddress, s.Platform.ObjectAddress, s.Platform.InstanceListAddress),
 		View:        view.NewView(s.Keys(), s.FailureDomain),
-		clients:     peer.NewClients(id),
 		cancel:      cancel,
 	}
-	c.Server = grpc.NewServer(
-		grpc.Creds(id.Server()),
-		grpc.InitialWindowSize(streamWindow),
-		grpc.InitialConnWindowSize(connectionWindow),
-		grpc.MaxRecvMsgSize(messageLimit),
-	)
+	c.clients = peer.NewClients(c.Dialer)
+	c.Server = peer.NewGRPCServer(id.Server())
 	c.Members = platform.NewMembers(ctx, c.Platform, s.Seeds)
 	c.Poller = platform.NewPoller(ctx, platform.NewIntent(c.Platform, c.Platform), c.View, c.Members, c.Log)
 	c.Spread = peer.NewSpread(ctx, c.self(), c.View, c.Members, c.clients, c.Log, m)
@@ -145,6 +130,7 @@
 	}
 	c.cancel()
 	c.Spread.Wait()
+	c.clients.Close()
 	c.Poller.Wait()
 	c.Members.Wait()
 }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	f := newFleet(s, c.Identity, c.View, c.Members, c.Log, c.Metrics)
+	f := newFleet(s, c.Dialer, c.View, c.Members, c.Log, c.Metrics)
 	claims := claim.NewStore(duties, c.Platform)
 	service := caller.NewService(c.View.Bundle, f, claims, c.Log, c.Metrics)
 	var leaving atomic.Bool
--- a/internal/process/entry/fleet.go
+++ b/internal/process/entry/fleet.go
@@ -5,10 +5,10 @@
 	"sync"
 
 	"github.com/cicadareel/cicadareel/internal/connection/caller"
+	"github.com/cicadareel/cicadareel/internal/connection/peer"
 	"github.com/cicadareel/cicadareel/internal/connection/platform"
 	"github.com/cicadareel/cicadareel/internal/connection/sidecar"
 	"github.com/cicadareel/cicadareel/internal/process/events"
-	"github.com/cicadareel/cicadareel/internal/process/identity"
 	"github.com/cicadareel/cicadareel/internal/process/metrics"
 	"github.com/cicadareel/cicadareel/internal/process/settings"
 	"github.com/cicadareel/cicadareel/internal/request/choice"
@@ -36,7 +36,7 @@
 // fleet keeps links to the endpoints of the bundle in force.
 type fleet struct {
 	settings *settings.Settings
-	identity *identity.Identity
+	dialer   *peer.Dialer
 	view     *view.View
 	members  *platform.Members
 	log      *events.Log
@@ -48,10 +48,10 @@
 	tables map[string]*choice.Table
 }
 
-func newFleet(s *settings.Settings, i *identity.Identity, v *view.View, m *platform.Members, l *events.Log, x *metrics.Metrics) *fleet {
+func newFleet(s *settings.Settings, d *peer.Dialer, v *view.View, m *platform.Members, l *events.Log, x *metrics.Metrics) *fleet {
 	return &fleet{
 		settings: s,
-		identity: i,
+		dialer:   d,
 		view:     v,
 		members:  m,
 		log:      l,
@@ -152,7 +152,7 @@
 
 func (f *fleet) newNode(e *bundle.Endpoint, at netip.AddrPort) *node {
 	n := &node{member: choice.NewMember(e.Name, e.FailureDomain)}
-	n.link = sidecar.NewLink(e.Name, f.settings.Instance, at, f.identity, n, f.log, f.metrics)
+	n.link = sidecar.NewLink(e.Name, f.settings.Instance, at, f.dialer, n, f.log, f.metrics)
 	return n
 }
 
--- a/internal/request/gate/gate.go
+++ b/internal/request/gate/gate.go
@@ -178,7 +178,8 @@
 	Total time.Duration
 }
 
-// Finish ends an admitted attempt.
+// Finish ends an admitted attempt. An endpoint that could not be reached
+// receives nothing until it reports again.
 func (g *Gate) Finish(a Attempt, c Completion) {
 	calls := notices{}
 	defer calls.send()
@@ -191,6 +192,7 @@
 		g.limiter.healthy(c.FirstByte)
 	} else {
 		g.limiter.fallCold()
+		g.reported = g.reported && !c.NeverSent
 	}
 	g.release(&calls)
 }
--- a/internal/request/retry/retry.go
+++ b/internal/request/retry/retry.go
@@ -44,12 +44,12 @@
 	return true
 }
 
-// Free reports whether a retry after the reason costs nothing: the gate
-// refused because work must go elsewhere, so the endpoint got no load.
+// Free reports whether a retry after the reason costs nothing: the attempt
+// certainly put no load on an endpoint, and work must go elsewhere.
 func Free(r outcome.Reason) bool {
 	switch r {
 	case outcome.Held, outcome.Leaving, outcome.StaleView, outcome.NotReady,
-		outcome.WrongIncarnation, outcome.OldEpoch, outcome.EndpointUnreachable,
+		outcome.WrongIncarnation, outcome.OldEpoch, outcome.Sealed, outcome.EndpointUnreachable,
 		outcome.NoBundle, outcome.ShuttingDown:
 		return true
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return
 	}
-	cold, _ := e.recorder.begin(r.Header.Get(endpoint.RequestIDHeader))
+	cold, _ := e.recorder.begin(r.Header.Get(endpoint.RequestIDHeader), body)
 	cut := true
 	defer func() { e.recorder.end(cut) }()
 	e.config.describe(w, body)
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 )
@@ -163,3 +164,22 @@
 		l.tally.Keys[key] = outcome
 	}
 }
+
+// Draft sends one request and returns its body, or the error's text.
+func Draft(url, token, body string) string {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return err.Error()
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	content, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(content)
+}
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -12,6 +13,8 @@
 type Record struct {
 	// Runs counts the runs by request id.
 	Runs map[string]int `json:"runs"`
+	// Bodies counts the runs by the request's body, up to bodyLimit bytes.
+	Bodies map[string]int `json:"bodies"`
 	// PeakCold is the highest number of concurrent requests while cold.
 	PeakCold int `json:"peakCold"`
 	// Peak is the highest number of concurrent requests at any time.
@@ -22,6 +25,9 @@
 	Cut int `json:"cut"`
 }
 
+// bodyLimit bounds the part of a body that is recorded.
+const bodyLimit = 64
+
 // recorder keeps a Record.
 type recorder struct {
 	mu      sync.Mutex
@@ -32,15 +38,16 @@
 }
 
 func newRecorder(cold int) *recorder {
-	return &recorder{record: Record{Runs: map[string]int{}}, cold: cold}
+	return &recorder{record: Record{Runs: map[string]int{}, Bodies: map[string]int{}}, cold: cold}
 }
 
 // begin notes a run and reports whether the endpoint is cold.
-func (r *recorder) begin(requestID string) (cold bool, running int) {
+func (r *recorder) begin(requestID string, body []byte) (cold bool, running int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.running++
 	r.record.Runs[requestID]++
+	r.record.Bodies[string(body[:min(len(body), bodyLimit)])]++
 	r.record.LastStart = time.Now()
 	r.record.Peak = max(r.record.Peak, r.running)
 	if r.cold > 0 {
@@ -70,10 +77,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	copied := r.record
-	copied.Runs = make(map[string]int, len(r.record.Runs))
-	for id, n := range r.record.Runs {
-		copied.Runs[id] = n
-	}
+	copied.Runs = maps.Clone(r.record.Runs)
+	copied.Bodies = maps.Clone(r.record.Bodies)
 	return copied
 }
 
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return
 	}
-	cold, _ := s.recorder.begin(r.Header.Get(endpoint.RequestIDHeader))
+	cold, _ := s.recorder.begin(r.Header.Get(endpoint.RequestIDHeader), body)
 	defer func() { s.recorder.end(r.Context().Err() != nil) }()
 	s.config.wait(r, cold)
 	s.config.describe(w, body)
--- /dev/null
+++ b/internal/system/cluster_test.go
@@ -0,0 +1,313 @@
+// Package system holds tests with real processes, signals and a TCP relay.
+package system
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadareel/cicadareel/internal/connection/platform"
+	"github.com/cicadareel/cicadareel/internal/standin"
+	"github.com/cicadareel/cicadareel/pkg/bundle"
+)
+
+const (
+	tokens = 20
+	step   = 10 * time.Millisecond
+	// patience bounds waiting for a state that must come; it is generous,
+	// since machines differ.
+	patience = 60 * time.Second
+)
+
+// child is one process of the test.
+type child struct {
+	command *exec.Cmd
+	exited  chan error
+}
+
+func (c *child) signal(s syscall.Signal) {
+	GinkgoHelper()
+	Expect(c.command.Process.Signal(s)).To(Succeed())
+}
+
+// kill ends the process without any goodbye.
+func (c *child) kill() {
+	_ = c.command.Process.Signal(syscall.SIGKILL)
+	_ = <-c.exited
+}
+
+// node is one endpoint with its sidecar and the relay before it.
+type node struct {
+	name, domain    string
+	endpointAddress string
+	sidecarAddress  string
+	relay           *standin.Relay
+	endpoint        *child
+	sidecar         *child
+}
+
+// cluster is a system of real processes on loopback.
+type cluster struct {
+	dir      string
+	platform string
+	entries  []*child
+	doors    []string
+	peers    []string
+	nodes    []*node
+	children []*child
+	key      string
+}
+
+// binaries builds the programs once.
+func binaries() string {
+	GinkgoHelper()
+	dir := GinkgoT().TempDir()
+	for _, target := range []string{"cicadareel=../..", "standin=../../cmd/standin"} {
+		name, path, _ := strings.Cut(target, "=")
+		out, err := exec.Command("go", "build", "-o", filepath.Join(dir, name), path).CombinedOutput()
+		Expect(err).NotTo(HaveOccurred(), string(out))
+	}
+	return dir
+}
+
+func freeAddress() string {
+	GinkgoHelper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (c *cluster) run(name string, args ...string) *child {
+	GinkgoHelper()
+	command := exec.Command(filepath.Join(c.dir, name), args...)
+	log, err := os.Create(filepath.Join(c.dir, fmt.Sprintf("%d.log", len(c.children))))
+	Expect(err).NotTo(HaveOccurred())
+	command.Stdout, command.Stderr = log, log
+	Expect(command.Start()).To(Succeed())
+	p := &child{command: command, exited: make(chan error, 1)}
+	go func() {
+		p.exited <- command.Wait()
+		close(p.exited)
+	}()
+	c.children = append(c.children, p)
+	return p
+}
+
+// cli runs the operators' client and returns its output.
+func (c *cluster) cli(args ...string) (string, error) {
+	command := exec.Command(filepath.Join(c.dir, "cicadareel"), args...)
+	command.Env = append(os.Environ(), "CICADAREEL_SETTINGS="+filepath.Join(c.dir, "operator.toml"))
+	out, err := command.CombinedOutput()
+	return string(out), err
+}
+
+func newCluster(engines, services int) *cluster {
+	GinkgoHelper()
+	c := &cluster{dir: binaries(), platform: freeAddress()}
+	c.createKey()
+	c.run("standin", "platform", "--address", c.platform)
+	for i := range engines + services {
+		kind, name := "engine", fmt.Sprint("engine-", i)
+		if i >= engines {
+			kind, name = "service", fmt.Sprint("service-", i)
+		}
+		c.addNode(kind, name, string("ab"[i%2]))
+	}
+	for range 2 {
+		c.doors = append(c.doors, freeAddress())
+		c.peers = append(c.peers, freeAddress())
+	}
+	c.publishInstances()
+	c.writeSettings("operator", fmt.Sprintf("role = \"operator\"\noperatorName = \"anna\"\noperatorKeyFile = %q\nseeds = [%q, %q]\n",
+		filepath.Join(c.dir, "anna.key"), c.peers[0], c.peers[1]))
+	for i := range c.doors {
+		c.entries = append(c.entries, nil)
+		c.startEntry(i)
+	}
+	for _, n := range c.nodes {
+		c.startSidecar(n)
+	}
+	c.applyBundle()
+	return c
+}
+
+func (c *cluster) createKey() {
+	public, private, err := ed25519.GenerateKey(nil)
+	Expect(err).NotTo(HaveOccurred())
+	c.key = "anna:" + base64.StdEncoding.EncodeToString(public)
+	seed := base64.StdEncoding.EncodeToString(private.Seed())
+	Expect(os.WriteFile(filepath.Join(c.dir, "anna.key"), []byte(seed), 0o600)).To(Succeed())
+}
+
+func (c *cluster) addNode(kind, name, domain string) {
+	n := &node{name: name, domain: domain, endpointAddress: freeAddress(), sidecarAddress: freeAddress()}
+	n.endpoint = c.run("standin", kind, "--address", n.endpointAddress, "--name", name, "--domain", domain,
+		"--tokens", fmt.Sprint(tokens), "--step", step.String())
+	relay, err := standin.NewRelay("127.0.0.1:0", n.sidecarAddress)
+	Expect(err).NotTo(HaveOccurred())
+	n.relay = relay
+	c.nodes = append(c.nodes, n)
+}
+
+func (c *cluster) publishInstances() {
+	list := []platform.Instance{}
+	for i, p := range c.peers {
+		list = append(list, platform.Instance{Name: fmt.Sprint("entry-", i), Role: "entry", FailureDomain: string("ab"[i]),
+			PeerAddress: netip.MustParseAddrPort(p), State: platform.StateLive})
+	}
+	for _, n := range c.nodes {
+		list = append(list, platform.Instance{Name: "sidecar-" + n.name, Role: "sidecar", FailureDomain: n.domain,
+			PeerAddress: netip.MustParseAddrPort(n.relay.Address()), Endpoint: n.name, State: platform.StateLive})
+	}
+	body, err := json.Marshal(list)
+	Expect(err).NotTo(HaveOccurred())
+	Eventually(func() error { return put("http://"+c.platform+"/instances", string(body)) }, patience).Should(Succeed())
+}
+
+func put(url, body string) error {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPut, url, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+func (c *cluster) writeSettings(name, text string) string {
+	path := filepath.Join(c.dir, name+".toml")
+	text += fmt.Sprintf("operatorKeys = [%q]\n[platform]\ntableAddress = %q\nobjectAddress = %q\ninstanceListAddress = %q\n[tls]\ninsecure = true\n",
+		c.key, c.platform, c.platform, c.platform)
+	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	return path
+}
+
+func (c *cluster) startEntry(i int) {
+	path := c.writeSettings(fmt.Sprint("entry-", i), fmt.Sprintf(
+		"role = \"entry\"\ninstance = \"entry-%d\"\nfailureDomain = %q\ncallerAddress = %q\npeerAddress = %q\noperatorAddress = %q\n",
+		i, string("ab"[i]), c.doors[i], c.peers[i], freeAddress()))
+	c.entries[i] = c.run("cicadareel", "entry", "--settings", path)
+}
+
+func (c *cluster) startSidecar(n *node) {
+	path := c.writeSettings("sidecar-"+n.name, fmt.Sprintf(
+		"role = \"sidecar\"\ninstance = \"sidecar-%s\"\nfailureDomain = %q\npeerAddress = %q\noperatorAddress = %q\nendpoint = %q\nendpointAddress = %q\n",
+		n.name, n.domain, n.sidecarAddress, freeAddress(), n.name, n.endpointAddress))
+	n.sidecar = c.run("cicadareel", "sidecar", "--settings", path)
+}
+
+func (c *cluster) applyBundle() {
+	text := fmt.Sprintf(`version = 1
+failureDomains = [{name="a"}, {name="b"}]
+groups = [{name="model", kind="model", coldLimit=2, warmLimit=16, warmAfter=8, queueLimit=64},
+          {name="desk", kind="application", coldLimit=4, warmLimit=32, warmAfter=4, queueLimit=64}]
+routes = [{path="/draft", group="model", idempotent=true, splice=true, priority=5, timeout="20s", maxBodyBytes=65536},
+          {path="/book", group="desk", idempotent=false, priority=5, timeout="20s", maxBodyBytes=65536}]
+clientAccounts = [{name="homeowners", tokenHashes=[%q], weight=1}]
+`, bundle.HashToken("token"))
+	for _, n := range c.nodes {
+		group := "model"
+		if strings.HasPrefix(n.name, "service") {
+			group = "desk"
+		}
+		text += fmt.Sprintf("[[endpoints]]\nname=%q\ngroup=%q\nfailureDomain=%q\n", n.name, group, n.domain)
+	}
+	path := filepath.Join(c.dir, "bundle.toml")
+	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	_, err := c.cli("bundle", "sign", path)
+	Expect(err).NotTo(HaveOccurred())
+	Eventually(func() (string, error) { return c.cli("bundle", "apply", path) }, patience).Should(ContainSubstring("in force"))
+	c.awaitOpen(len(c.nodes))
+}
+
+// awaitOpen waits until the number of gates is open.
+func (c *cluster) awaitOpen(gates int) {
+	GinkgoHelper()
+	Eventually(func() int {
+		out, _ := c.cli("status", "--json")
+		return strings.Count(out, "\"open\": true")
+	}, patience).Should(Equal(gates))
+}
+
+func (c *cluster) close() {
+	for _, p := range c.children {
+		_ = p.command.Process.Signal(syscall.SIGCONT)
+		p.kill()
+	}
+	for _, n := range c.nodes {
+		n.relay.Close()
+	}
+}
+
+// load sends drafts and keyed bookings through both entries.
+func (c *cluster) load(seed uint64, length time.Duration) <-chan *standin.Tally {
+	done := make(chan *standin.Tally, 1)
+	go func() {
+		done <- standin.RunLoad(context.Background(), standin.LoadConfig{
+			Entries: []string{"http://" + c.doors[0], "http://" + c.doors[1]},
+			Tokens:  []string{"token"},
+			Jobs:    []standin.Job{{Path: "/draft", Tokens: tokens}, {Path: "/book", Keyed: true}},
+			Rate:    60,
+			Length:  length,
+			Seed:    seed,
+		})
+	}()
+	return done
+}
+
+func (n *node) record() standin.Record {
+	GinkgoHelper()
+	resp, err := http.Get("http://" + n.endpointAddress + "/record")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	r := standin.Record{}
+	Expect(json.NewDecoder(resp.Body).Decode(&r)).To(Succeed())
+	return r
+}
+
+// expectHonest checks a run of the load against the endpoints' records.
+func (c *cluster) expectHonest(t *standin.Tally) {
+	GinkgoHelper()
+	Expect(t.Broken).To(BeZero(), "wrong, mixed or silently cut answers")
+	runs := map[string]int{}
+	for _, n := range c.nodes {
+		r := n.record()
+		Expect(r.PeakCold).To(BeNumerically("<=", 4))
+		for id, count := range r.Bodies {
+			if strings.HasPrefix(n.name, "service") {
+				runs[id] += count
+			}
+		}
+	}
+	for body, count := range runs {
+		Expect(count).To(Equal(1), "runs of booking %q", body)
+	}
+	for key, result := range t.Keys {
+		body := strings.Replace(key, "key-", "", 1)
+		seed, number, _ := strings.Cut(body, "-")
+		ran := runs[fmt.Sprintf("request %s of run %s", number, seed)]
+		if result == "notRun" {
+			Expect(ran).To(BeZero(), "booking %s was refused with not run", key)
+		}
+		if result == "whole" {
+			Expect(ran).To(Equal(1), "booking %s", key)
+		}
+	}
+}
--- a/pkg/bundle/bundle_test.go
+++ b/pkg/bundle/bundle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/ed25519"
+	"errors"
 	"os"
 	"path/filepath"
 	"strings"
@@ -29,8 +30,8 @@
 	GinkgoHelper()
 	_, err := bundle.Parse([]byte(content))
 	var invalid *bundle.InvalidError
-	Expect(err).To(BeAssignableToTypeOf(invalid))
-	return err.(*bundle.InvalidError).Problems
+	Expect(errors.As(err, &invalid)).To(BeTrue())
+	return invalid.Problems
 }
 
 var _ = Describe("Parse", func() {
