--- a/internal/proof/intent_test.go
+++ b/internal/proof/intent_test.go
@@ -201,6 +201,16 @@
 		})
 	})
 
+	It("cannot be missed by handing old freshness round", func() {
+		ensembled(func(e *ensemble) {
+			e.table.SetFaults(standin.Faults{Outage: true})
+			time.Sleep(promptly)
+			for _, p := range e.participants {
+				Expect(p.view.Freshness().Fresh).To(BeFalse(), p.name)
+			}
+		})
+	})
+
 	It("wins over a return that did not see it", func() {
 		ensembled(func(e *ensemble) {
 			e.tell(e.participants[0], e.order("o1", "a", order.TakeOut))
--- a/internal/proof/path_test.go
+++ b/internal/proof/path_test.go
@@ -42,6 +42,18 @@
 		})
 	})
 
+	It("says unknown, not not run, of a draft whose only endpoint died for good", func() {
+		bubble(func() {
+			r := newRig("m1")
+			defer r.close()
+			result := r.doors[0].start("/draft", "lost", "")
+			time.Sleep(step / 2)
+			r.sites["m1"].killEndpoint()
+			expectRefused(<-result, "unknown")
+			Expect(r.totalRuns()).To(Equal(1))
+		})
+	})
+
 	It("gives a repeat of a key the first outcome without a second run", func() {
 		bubble(func() {
 			r := newRig("desk1", "desk2")
--- a/internal/request/gate/gate_test.go
+++ b/internal/request/gate/gate_test.go
@@ -85,8 +85,8 @@
 			a := attempt(i, 1)
 			Expect(g.Offer(a, ignore)).To(Equal(gate.Admitted{}))
 			finish(g, a)
-			if i < 4 {
-				Expect(g.State().Limit).To(BeNumerically("<=", 3))
+			if i < 3 {
+				Expect(g.State().Limit).To(Equal(2), "after %d answers", i+1)
 			}
 		}
 		Expect(g.State().Warm).To(BeTrue())
--- /dev/null
+++ b/scripts/falsify.sh
@@ -0,0 +1,58 @@
+#!/usr/bin/env bash
+# Shows that the proofs can fail: removes one mechanism at a time in a scratch
+# copy and expects the named test to turn red. Prints a table; a line in capitals
+# is a mechanism that can be removed without a test noticing.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+parallel=4
+
+# without NAME FILE SED-EXPRESSION PACKAGE FOCUS
+without() {
+  while [ "$(jobs -rp | wc -l)" -ge $parallel ]; do wait -n; done
+  remove "$@" &
+}
+remove() {
+  local tree out status
+  tree=$(mktemp -d -p "$copy")
+  git ls-files -z --cached --others --exclude-standard | xargs -0 cp --parents -t "$tree"
+  sed -i -E "$3" "$tree/$2"
+  if cmp -s "$2" "$tree/$2"; then echo "NOT APPLIED  $1"; return; fi
+  out=$(cd "$tree" && timeout 100 go test -count=1 "$4" -ginkgo.focus "$5" 2>&1)
+  status=$?
+  if [ $status -eq 0 ]; then echo "NOT NOTICED  $1"
+  elif grep -q 'build failed' <<<"$out"; then echo "NOT BUILT    $1"
+  elif [ $status -eq 124 ]; then echo "red (hangs)  $1"
+  else echo "red          $1"; fi
+}
+
+gate=internal/request/gate
+map=internal/version/expertmap
+without "records outlive attempts" $gate/ledger.go 's/recordEpochs = 3/recordEpochs = 1/' ./$gate "any schedule"
+without "epoch of attempts is checked" $gate/ledger.go 's/return told <= .*/return true/' ./$gate "any schedule|paused"
+without "sealed attempts are refused" $gate/ledger.go 's/return outcome.Sealed/return ""/' ./$gate "any schedule"
+without "admitted requests are refused" $gate/ledger.go 's/case r.admitted \&\& !a.Idempotent/case false/' ./$gate "any schedule"
+without "cold limit until warm" $gate/limiter.go 's/if l.warming > 0/if false/' ./$gate "cold gate"
+without "a first load report is needed" $gate/gate.go 's/case !g.reported:/case false:/' ./$gate "cold gate"
+without "gates close at refused connections" $gate/gate.go 's/g.reported = g.reported \&\& !c.NeverSent//' ./internal/proof "endpoint killed"
+without "silent links are found" internal/connection/sidecar/link.go 's/silent := .*/silent := false/' ./internal/proof "link silent"
+without "attempts are sealed before a retry" internal/connection/caller/journey.go 's/return j.settle\(ctx, p\)$/return again{reason: outcome.ConnectionLost}/' ./internal/proof "booking: link"
+without "a claim decides who runs a key" internal/connection/caller/journey.go 's/if held.Claim == mine \{/if true {/' ./internal/proof "repeat of a key"
+without "what may have run is not called not run" internal/connection/caller/journey.go 's/j.mayHaveRun = true/j.mayHaveRun = false/' ./internal/proof "says unknown"
+without "the end of an answer is explicit" internal/connection/sidecar/exchange.go 's/whole := .*/whole := true/' ./internal/connection/sidecar "end"
+without "older versions are ignored" internal/version/view/view.go 's/s.Version <= v.Version\(\)/false/; s/v.signed != nil \&\& s.Version <= v.signed.Version/false/' ./internal/proof "late copies"
+without "bundles are verified" pkg/bundle/signed.go 's/!ed25519.Verify\(/false \&\& !ed25519.Verify(/' ./internal/proof "wrong signatures"
+without "orders are verified" pkg/order/order.go 's/!ed25519.Verify\(/false \&\& !ed25519.Verify(/' ./internal/proof "forged"
+without "stale views take no work" internal/version/view/view.go 's/FreshFor = 3/FreshFor = 30/' ./internal/proof "cut off"
+without "late answers do not look fresh" internal/connection/peer/spread.go 's/s.view.Confirm\(asked.Add.*/s.view.Confirm(time.Now())/' ./internal/proof "handing old"
+without "a return releases only what it names" internal/version/view/view.go 's/!released\[id\]/!(released[id] || len(released) > 0)/' ./internal/proof "wins over"
+without "orders are recorded when the table is back" internal/connection/platform/poller.go 's/return p.intent.Record\(ctx, missing\)/return nil/' ./internal/proof "recorded later"
+without "the pointer moves by compare-and-swap" internal/connection/platform/intent.go 's/if err == nil \&\& results\[0\].Applied/if err == nil \&\& len(results) == 1/' ./internal/proof "apply at once"
+without "lost answers are read back" internal/connection/platform/intent.go 's/return i.confirmAccepted\(ctx, s\)/return err/' ./internal/proof "answer of the write was lost"
+without "commands name the incarnation" $map/rank.go 's/c.Incarnation == r.incarnation \&\& //' ./$map "switch"
+without "ranks obey the highest ballot" $map/rank.go 's/if c.Ballot.Less\(r.promised\) \{/if false {/; s/ \&\& c.Ballot == r.promised//' ./$map "switch"
+without "a hold must be in effect" $map/rank.go 's/return s.HoldStep == k.Step \&\& s.Step <= k.Step/return true/' ./$map "switch"
+without "orders on their way are waited out" $map/rank.go 's/wait := time.Until\(r.settled\)/wait := time.Duration(0)/' ./$map "switch"
+without "begun switches are finished first" $map/coordinator.go 's/if r.State.Active != newest.Active \{/if r.State.Active != newest.Active \&\& false {/' ./$map "switch"
+wait
