--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -16,7 +16,7 @@
 	root := &cli.Command{
 		Name:     "measure",
 		Usage:    "measurements for the capacity page",
-		Commands: []*cli.Command{capacityCommand(), processCommand()},
+		Commands: []*cli.Command{capacityCommand(), processCommand(), expertMapsCommand(), pathCommand()},
 	}
 	if err := root.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "measure:", err)
@@ -24,6 +24,18 @@
 	}
 }
 
+func expertMapsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "expert-maps",
+		Usage: "step-time skew and bytes moved, ours and naive",
+		Flags: []cli.Flag{&cli.Uint64Flag{Name: "seed", Value: 1}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			measure.ExpertMaps(c.Uint64("seed"))
+			return nil
+		},
+	}
+}
+
 func capacityCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "capacity",
--- a/internal/connection/entry/conversation.go
+++ b/internal/connection/entry/conversation.go
@@ -42,6 +42,10 @@
 	// readers are the goroutines that feed out.
 	readers sync.WaitGroup
 
+	// intake is held while a frame is handled; closed ends the handling.
+	intake sync.Mutex
+	closed bool
+
 	mu sync.Mutex
 	// attached maps request ids to the run that this stream reads.
 	attached map[string]*run
@@ -68,6 +72,7 @@
 
 func (c *conversation) serve() error {
 	defer c.readers.Wait()
+	defer c.closeIntake()
 	defer c.cancel()
 	var writer sync.WaitGroup
 	defer writer.Wait()
@@ -76,53 +81,59 @@
 	c.send(&wire.SidecarFrame{Kind: &wire.SidecarFrame_Welcome{Welcome: &wire.Welcome{
 		Endpoint: c.server.name, Incarnation: c.server.incarnation,
 	}}})
-	return c.readLoop()
+	return c.read()
 }
 
-// readLoop ends when the stream breaks, stays silent, or carries a malformed
-// frame.
-func (c *conversation) readLoop() error {
-	frames := make(chan *wire.EntryFrame)
-	go c.receive(frames)
+// read returns when the stream breaks, stays silent, or carries a malformed
+// frame. The receiving goroutine ends with the stream.
+func (c *conversation) read() error {
 	silence := time.NewTimer(silenceLimit)
 	defer silence.Stop()
-	for {
-		select {
-		case f, ok := <-frames:
-			if !ok {
-				return nil
-			}
-			silence.Reset(silenceLimit)
-			if err := c.handle(f); err != nil {
-				c.server.metrics.Malformed()
-				c.server.log.Warn(events.PeerMisbehaved, events.Fields{"error": err.Error()})
-				return status.Error(codes.InvalidArgument, err.Error())
-			}
-		case <-silence.C:
-			return status.Error(codes.DeadlineExceeded, "stream silent")
-		case <-c.ctx.Done():
-			return nil
-		case <-c.server.base.Done():
-			return nil
-		}
+	ended := make(chan error, 1)
+	go func() { ended <- c.receiveLoop(silence) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-silence.C:
+		return status.Error(codes.DeadlineExceeded, "stream silent")
+	case <-c.ctx.Done():
+		return nil
+	case <-c.server.base.Done():
+		return nil
 	}
 }
 
-func (c *conversation) receive(frames chan<- *wire.EntryFrame) {
-	defer close(frames)
+func (c *conversation) receiveLoop(silence *time.Timer) error {
 	for {
 		f, err := c.stream.Recv()
 		if err != nil {
-			return
+			return nil //nolint:nilerr // The entry went away.
 		}
-		select {
-		case frames <- f:
-		case <-c.ctx.Done():
-			return
+		silence.Reset(silenceLimit)
+		if err := c.take(f); err != nil {
+			c.server.metrics.Malformed()
+			c.server.log.Warn(events.PeerMisbehaved, events.Fields{"error": err.Error()})
+			return status.Error(codes.InvalidArgument, err.Error())
 		}
 	}
 }
 
+// take handles a frame unless the conversation ended.
+func (c *conversation) take(f *wire.EntryFrame) error {
+	c.intake.Lock()
+	defer c.intake.Unlock()
+	if c.closed {
+		return nil
+	}
+	return c.handle(f)
+}
+
+func (c *conversation) closeIntake() {
+	c.intake.Lock()
+	defer c.intake.Unlock()
+	c.closed = true
+}
+
 func (c *conversation) handle(f *wire.EntryFrame) error {
 	switch k := f.GetKind().(type) {
 	case *wire.EntryFrame_Hello:
@@ -259,6 +270,7 @@
 		return
 	}
 	r.answer.Acknowledge(m.GetOffset())
+	c.server.runs.acknowledged(r)
 }
 
 // abandon ends this entry's interest in a request.
--- a/internal/connection/entry/run.go
+++ b/internal/connection/entry/run.go
@@ -86,11 +86,21 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.readers--
-	if r.readers == 0 && !r.kept {
+	if r.readers == 0 && !r.kept && !r.answer.Drained() {
 		r.expiry = time.AfterFunc(detachGrace, r.abandon)
 	}
 }
 
+// settle notes that no reader is waited for any more.
+func (r *run) settle() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.expiry != nil {
+		r.expiry.Stop()
+		r.expiry = nil
+	}
+}
+
 func (r *run) abandon() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/connection/entry/runs.go
+++ b/internal/connection/entry/runs.go
@@ -9,7 +9,7 @@
 	// readers that may still come.
 	keepEpochs = 3
 	// keepRuns bounds the number of ended runs that are kept.
-	keepRuns = 4096
+	keepRuns = 1024
 )
 
 // runs holds the runs of this incarnation by request id.
@@ -34,6 +34,18 @@
 	return s.byID[id]
 }
 
+// acknowledged forgets a run whose whole answer was read, unless its answer is
+// kept for repeats. Of a request that ran, the gate's record remains.
+func (s *runs) acknowledged(r *run) {
+	if r.kept || !r.answer.Drained() {
+		return
+	}
+	r.settle()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.removeLocked(r)
+}
+
 // removeLocked forgets the run unless a later one took its place.
 func (s *runs) removeLocked(r *run) {
 	if s.byID[r.attempt.RequestID] == r {
@@ -46,10 +58,16 @@
 func (s *runs) end(r *run, epoch uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	r.mu.Lock()
 	r.endEpoch = epoch
+	r.mu.Unlock()
 	if s.byID[r.attempt.RequestID] != r {
 		return
 	}
+	if !r.kept && r.answer.Drained() {
+		s.removeLocked(r)
+		return
+	}
 	s.ended = append(s.ended, r)
 	for len(s.ended) > keepRuns {
 		s.removeLocked(s.ended[0])
--- a/internal/connection/entry/server.go
+++ b/internal/connection/entry/server.go
@@ -13,6 +13,7 @@
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
 	"github.com/cicadareel/cicadareel/internal/process/events"
 	"github.com/cicadareel/cicadareel/internal/process/metrics"
+	"github.com/cicadareel/cicadareel/internal/request/answer"
 	"github.com/cicadareel/cicadareel/internal/request/gate"
 	"github.com/cicadareel/cicadareel/internal/request/outcome"
 )
@@ -43,6 +44,8 @@
 
 	mu            sync.Mutex
 	conversations map[*conversation]struct{}
+	// closed is true once no further run may start.
+	closed bool
 }
 
 // NewServer starts the gate's clock until ctx ends.
@@ -54,8 +57,14 @@
 	return s
 }
 
-// Wait returns after all goroutines have ended.
-func (s *Server) Wait() { s.done.Wait() }
+// Wait starts no further run and returns after all goroutines have ended. Call
+// it after the context of NewServer ended.
+func (s *Server) Wait() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.done.Wait()
+}
 
 func (s *Server) tickLoop(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
@@ -183,6 +192,14 @@
 func (s *Server) start(r *run) {
 	ctx, cancel := context.WithDeadline(s.base, r.attempt.Deadline)
 	r.cancel = cancel
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		cancel()
+		r.answer.Fail(answer.Failure{Reason: string(outcome.ShuttingDown)})
+		s.gate.Finish(r.attempt, gate.Completion{NeverSent: true})
+		return
+	}
 	s.runs.put(r)
 	s.done.Go(func() {
 		defer cancel()
--- a/internal/connection/platform/members.go
+++ b/internal/connection/platform/members.go
@@ -16,6 +16,8 @@
 type Members struct {
 	mu   sync.Mutex
 	list []Instance
+	// leaving holds the names of leaving instances.
+	leaving map[string]bool
 	// changed is closed and replaced with each change of the list.
 	changed chan struct{}
 	done    sync.WaitGroup
@@ -58,6 +60,12 @@
 		return
 	}
 	m.list = list
+	m.leaving = map[string]bool{}
+	for _, i := range list {
+		if i.State == StateLeaving {
+			m.leaving[i.Name] = true
+		}
+	}
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
@@ -83,12 +91,9 @@
 
 // Leaving reports whether the list says that the instance is leaving.
 func (m *Members) Leaving(name string) bool {
-	for _, i := range m.List() {
-		if i.Name == name {
-			return i.State == StateLeaving
-		}
-	}
-	return false
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leaving[name]
 }
 
 // Changed returns a channel that is closed at the next change of the list.
--- a/internal/proof/intent_test.go
+++ b/internal/proof/intent_test.go
@@ -104,6 +104,7 @@
 
 	It("is one of two that operators apply at once", func() {
 		ensembled(func(e *ensemble) {
+			e.table.SetFaults(standin.Faults{Delay: 100 * time.Millisecond})
 			results := make(chan error, 2)
 			for _, note := range []string{"anna's", "ben's"} {
 				go func() { results <- e.intent().Accept(context.Background(), e.sign(2, note)) }()
--- a/internal/request/answer/answer.go
+++ b/internal/request/answer/answer.go
@@ -122,6 +122,9 @@
 		drop := a.acked - a.base
 		a.buffer = a.buffer[drop:]
 		a.base = a.acked
+		if len(a.buffer) == 0 {
+			a.buffer = nil
+		}
 	}
 	a.signal()
 }
@@ -190,9 +193,9 @@
 	return a.base
 }
 
-// Done reports whether the answer ended, whole or not.
-func (a *Answer) Done() bool {
+// Drained reports whether the answer is whole and acknowledged to its end.
+func (a *Answer) Drained() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.ended || a.failure != nil
+	return a.ended && a.acked == a.base+int64(len(a.buffer))
 }
--- a/internal/request/gate/gate.go
+++ b/internal/request/gate/gate.go
@@ -88,6 +88,8 @@
 	// reported is false until the first load report of this incarnation.
 	reported bool
 	barrier  Barrier
+	// closed is the barrier's reason when it was last asked.
+	closed outcome.Reason
 	// service is the smoothed time from admission to completion.
 	service time.Duration
 }
@@ -134,7 +136,7 @@
 	case !a.Deadline.After(time.Now()):
 		return outcome.DeadlineTooShort
 	}
-	if reason, _ := g.barrier(); reason != "" {
+	if reason, _ := g.askBarrier(); reason != "" {
 		return reason
 	}
 	return g.ledger.objection(a)
@@ -251,7 +253,7 @@
 	defer calls.send()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if reason, evict := g.barrier(); reason != "" && evict {
+	if reason, evict := g.askBarrier(); reason != "" && evict {
 		g.refuseWaiting(g.queue.drain(), reason, &calls)
 		return
 	}
@@ -277,7 +279,7 @@
 // release admits waiting work while there is room. During a drain, work that
 // waited before still starts.
 func (g *Gate) release(calls *notices) {
-	if reason, evict := g.barrier(); !g.reported || evict || reason == outcome.StaleView {
+	if reason, evict := g.askBarrier(); !g.reported || evict || reason == outcome.StaleView {
 		return
 	}
 	for g.free() {
@@ -295,17 +297,23 @@
 	}
 }
 
-// State returns a snapshot.
+func (g *Gate) askBarrier() (reason outcome.Reason, evict bool) {
+	reason, evict = g.barrier()
+	g.closed = reason
+	return reason, evict
+}
+
+// State returns a snapshot. Whether the gate is open is as of the last
+// admission or tick.
 func (g *Gate) State() State {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	reason, _ := g.barrier()
 	return State{
 		Limit:    g.limiter.current(),
 		InFlight: g.inFlight + g.foreign,
 		Queued:   g.queue.len(),
 		Warm:     g.limiter.warmed(),
-		Open:     reason == "" && g.reported,
+		Open:     g.closed == "" && g.reported,
 		Epoch:    g.ledger.epoch,
 	}
 }
