Balance experts in the sidecars, and spread bundles in parts

Change: the first live sidecar of a group plans every 10 s and switches through the ranks' sidecars; it starts from the engine's map. A bundle is cut into parts whose borders depend on their own entries; the signature covers the manifest of their digests, and processes fetch only the parts that they lack, from a peer or the object store. Mutual TLS, malformed frames and a fuzz test of frames.

Not proved: parts at 36,000 accounts through real processes.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -87,9 +87,16 @@
 	return &cli.Command{
 		Name:  "engine",
 		Usage: "model engine",
-		Flags: endpointFlags(),
+		Flags: append(endpointFlags(),
+			&cli.IntFlag{Name: "experts", Usage: "experts of each layer; 0 for none"},
+			&cli.IntFlag{Name: "layers", Value: 2},
+			&cli.BoolFlag{Name: "fenced", Usage: "refuse orders with an old fencing number"}),
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return serve(ctx, c.String("address"), standin.NewEngine(endpointConfig(c)).Handler())
+			e := standin.NewEngine(endpointConfig(c))
+			if c.Int("experts") > 0 {
+				e.Ranks = standin.NewMapRank(c.Int("layers"), c.Int("experts"), c.Bool("fenced"))
+			}
+			return serve(ctx, c.String("address"), e.Handler())
 		},
 	}
 }
--- a/internal/cli/bundle.go
+++ b/internal/cli/bundle.go
@@ -9,7 +9,6 @@
 	"github.com/samber/oops"
 	"github.com/urfave/cli/v3"
 
-	"github.com/cicadareel/cicadareel/internal/connection/peer"
 	"github.com/cicadareel/cicadareel/internal/connection/platform"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
 	"github.com/cicadareel/cicadareel/pkg/bundle"
@@ -104,7 +103,6 @@
 	if err := k.intent.Accept(ctx, s); err != nil {
 		return err
 	}
-	_, _ = k.tell(ctx, &wire.OrderRequest{Bundle: peer.BundleToWire(s)})
 	return k.waitInForce(ctx, c, s.Version)
 }
 
@@ -117,7 +115,7 @@
 	if err := json.Unmarshal(text, s); err != nil {
 		return nil, oops.In("cli").Wrap(err)
 	}
-	s.Content = content
+	s.SetContent(content)
 	return s, nil
 }
 
@@ -185,7 +183,7 @@
 	if s == nil {
 		return &platform.ConflictError{}
 	}
-	if err := k.intent.Content(ctx, s); err != nil {
+	if err := k.intent.Content(ctx, s, nil); err != nil {
 		return err
 	}
 	if _, err := s.Open(k.settings.Keys()); err != nil {
--- /dev/null
+++ b/internal/cli/keys_test.go
@@ -0,0 +1,84 @@
+package cli
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"path/filepath"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/cicadareel/cicadareel/internal/connection/peer"
+	"github.com/cicadareel/cicadareel/internal/connection/wire"
+	"github.com/cicadareel/cicadareel/internal/process/identity"
+	"github.com/cicadareel/cicadareel/internal/process/settings"
+)
+
+type greeting struct{ wire.UnimplementedPeerServer }
+
+func (greeting) Exchange(context.Context, *wire.ViewSummary) (*wire.ViewUpdate, error) {
+	return &wire.ViewUpdate{}, nil
+}
+
+// newIdentity creates a certificate under the authority in dir.
+func newIdentity(dir, name string) *identity.Identity {
+	GinkgoHelper()
+	Expect(Main([]string{"cicadareel", "keys", "certificate", "--out", dir, name})).To(BeZero())
+	i, err := identity.NewIdentity(settings.TLS{
+		CAFile:   filepath.Join(dir, "ca.pem"),
+		CertFile: filepath.Join(dir, name+".pem"),
+		KeyFile:  filepath.Join(dir, name+".key"),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return i
+}
+
+func newAuthority() string {
+	GinkgoHelper()
+	dir := GinkgoT().TempDir()
+	Expect(Main([]string{"cicadareel", "keys", "authority", "--out", dir})).To(BeZero())
+	return dir
+}
+
+var _ = Describe("credentials between processes", func() {
+	var at netip.AddrPort
+	var dir string
+
+	BeforeEach(func() {
+		dir = newAuthority()
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		at = netip.MustParseAddrPort(l.Addr().String())
+		server := peer.NewGRPCServer(newIdentity(dir, "server").Server())
+		wire.RegisterPeerServer(server, greeting{})
+		go func() { _ = server.Serve(l) }()
+		DeferCleanup(server.Stop)
+	})
+
+	ask := func(d *peer.Dialer) error {
+		conn, err := d.Dial(at)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		_, err = wire.NewPeerClient(conn).Exchange(context.Background(), &wire.ViewSummary{})
+		return err
+	}
+
+	It("admit a process with a certificate of the authority", func() {
+		Expect(ask(peer.NewDialer(newIdentity(dir, "entry")))).To(Succeed())
+	})
+
+	It("refuse a process without a certificate or with one of another authority", func() {
+		var d net.Dialer
+		plain := peer.NewDialerOn(insecure.NewCredentials, func(ctx context.Context, address string) (net.Conn, error) {
+			return d.DialContext(ctx, "tcp", address)
+		})
+		Expect(ask(plain)).NotTo(Succeed())
+		Expect(ask(peer.NewDialer(newIdentity(newAuthority(), "stranger")))).NotTo(Succeed())
+	})
+
+	It("are never replaced by a new file of the same name", func() {
+		Expect(Main([]string{"cicadareel", "keys", "certificate", "--out", dir, "server"})).NotTo(BeZero())
+	})
+})
--- /dev/null
+++ b/internal/connection/entry/conversation_test.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cicadareel/cicadareel/internal/connection/endpoint"
+	"github.com/cicadareel/cicadareel/internal/connection/wire"
+	"github.com/cicadareel/cicadareel/internal/process/events"
+	"github.com/cicadareel/cicadareel/internal/process/metrics"
+	"github.com/cicadareel/cicadareel/internal/request/gate"
+	"github.com/cicadareel/cicadareel/internal/request/outcome"
+)
+
+// FuzzFrame handles arbitrary frames: none may crash the sidecar, and none may
+// reach an endpoint, since the gate is closed.
+func FuzzFrame(f *testing.F) {
+	for _, frame := range []*wire.EntryFrame{
+		{},
+		{Kind: &wire.EntryFrame_Begin{Begin: &wire.Begin{Id: &wire.AttemptId{RequestId: "r", Number: 1}, Method: "POST", Target: "/x"}}},
+		{Kind: &wire.EntryFrame_Resume{Resume: &wire.Resume{Offset: -1}}},
+		{Kind: &wire.EntryFrame_Acknowledge{Acknowledge: &wire.Acknowledge{Offset: -5}}},
+		{Kind: &wire.EntryFrame_Cancel{}},
+	} {
+		encoded, err := proto.Marshal(frame)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(encoded)
+	}
+	m, err := metrics.NewMetrics()
+	if err != nil {
+		f.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	g := gate.NewGate("i", gate.Config{ColdLimit: 1, WarmLimit: 1}, func() (outcome.Reason, bool) { return outcome.Held, true })
+	s := NewServer(ctx, "e", "i", g, endpoint.NewClient(endpointNowhere), events.NewLog("panic", "fuzz"), m)
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		frame := &wire.EntryFrame{}
+		if proto.Unmarshal(encoded, frame) != nil {
+			return
+		}
+		c := newConversation(s, silentStream{ctx: ctx})
+		_ = c.take(frame)
+		c.cancel()
+		c.readers.Wait()
+		if g.State().InFlight != 0 {
+			t.Fatal("a frame reached the endpoint")
+		}
+	})
+}
+
+// TestMalformedFrame checks that a malformed frame ends its own stream only.
+func TestMalformedFrame(t *testing.T) {
+	m, err := metrics.NewMetrics()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	g := gate.NewGate("i", gate.Config{ColdLimit: 1, WarmLimit: 1}, func() (outcome.Reason, bool) { return "", false })
+	s := NewServer(ctx, "e", "i", g, endpoint.NewClient(endpointNowhere), events.NewLog("panic", "test"), m)
+	bad := &wire.EntryFrame{Kind: &wire.EntryFrame_Begin{Begin: &wire.Begin{}}}
+	good := &wire.EntryFrame{Kind: &wire.EntryFrame_Heartbeat{Heartbeat: &wire.Heartbeat{Sequence: 1}}}
+	ended := make(chan error, 2)
+	badStream, goodStream := newScriptedStream(ctx, bad), newScriptedStream(ctx, good)
+	go func() { ended <- s.Work(badStream) }()
+	go func() { _ = s.Work(goodStream) }()
+	if err := <-ended; err == nil {
+		t.Fatal("a malformed frame was accepted")
+	}
+	select {
+	case <-goodStream.answered:
+	case <-time.After(time.Minute):
+		t.Fatal("the other stream got no answer to its heartbeat")
+	}
+}
--- a/internal/connection/peer/convert.go
+++ b/internal/connection/peer/convert.go
@@ -54,18 +54,19 @@
 		Digest:    s.Digest,
 		Author:    s.Author,
 		Signature: s.Signature,
-		Content:   s.Content,
+		Manifest:  s.Manifest,
 	}
 }
 
-// BundleFromWire converts a message to a signed bundle, not yet verified.
+// BundleFromWire converts a message to a signed bundle, not yet verified and
+// without its content.
 func BundleFromWire(m *wire.SignedBundle) *bundle.Signed {
 	return &bundle.Signed{
 		Version:   m.GetVersion(),
 		Digest:    m.GetDigest(),
 		Author:    m.GetAuthor(),
 		Signature: m.GetSignature(),
-		Content:   m.GetContent(),
+		Manifest:  m.GetManifest(),
 	}
 }
 
--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -54,9 +54,9 @@
 	return out, nil
 }
 
-// Order adopts orders and a bundle and, if asked, tells every other process.
+// Order adopts orders and, if asked, tells every other process.
 func (s *Server) Order(ctx context.Context, in *wire.OrderRequest) (*wire.OrderReply, error) {
-	if err := s.spread.adopt(in.GetBundle(), in.GetOrders()); err != nil {
+	if err := s.spread.adoptOrders(in.GetOrders()); err != nil {
 		return nil, grpcError(err)
 	}
 	if !in.GetSpread() {
@@ -65,6 +65,16 @@
 	return s.spread.TellAll(ctx, in), nil
 }
 
+// Parts returns parts of the bundle in force.
+func (s *Server) Parts(_ context.Context, in *wire.PartsRequest) (*wire.PartsReply, error) {
+	held := s.view.Signed().Parts()
+	out := &wire.PartsReply{}
+	for _, digest := range in.GetDigests() {
+		out.Parts = append(out.Parts, held[digest])
+	}
+	return out, nil
+}
+
 // Status describes this process or, if asked, all known ones.
 func (s *Server) Status(ctx context.Context, in *wire.StatusRequest) (*wire.StatusReply, error) {
 	own := s.status()
--- a/internal/connection/peer/spread.go
+++ b/internal/connection/peer/spread.go
@@ -11,6 +11,7 @@
 	"github.com/cicadareel/cicadareel/internal/process/events"
 	"github.com/cicadareel/cicadareel/internal/process/metrics"
 	"github.com/cicadareel/cicadareel/internal/version/view"
+	"github.com/cicadareel/cicadareel/pkg/bundle"
 )
 
 const (
@@ -19,6 +20,8 @@
 	exchangeInterval = 500 * time.Millisecond
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = time.Second
+	// partsTimeout bounds fetching the missing parts of a bundle.
+	partsTimeout = 3 * time.Second
 	// tellTimeout bounds telling one process of an order.
 	tellTimeout = 2 * time.Second
 	// tellParallel bounds concurrent calls when telling every process.
@@ -45,6 +48,9 @@
 	metrics *metrics.Metrics
 	// nudges asks for an exchange with every neighbour at once.
 	nudges chan struct{}
+	// adopting holds a token while a bundle is fetched, so that several
+	// neighbours do not send the same parts.
+	adopting chan struct{}
 	// askBacks names processes that know more than this one.
 	askBacks chan string
 	// list and closest are the last instance list and the neighbours in it;
@@ -57,6 +63,7 @@
 // NewSpread starts exchanging views until ctx ends.
 func NewSpread(ctx context.Context, self Self, v *view.View, members *platform.Members, c *Clients, l *events.Log, m *metrics.Metrics) *Spread {
 	s := &Spread{self: self, view: v, members: members, clients: c, log: l, metrics: m, nudges: make(chan struct{}, 1), askBacks: make(chan string, askBackLimit)}
+	s.adopting = make(chan struct{}, 1)
 	s.done.Go(func() { s.exchangeLoop(ctx) })
 	s.done.Go(func() { s.watchLoop(ctx) })
 	return s
@@ -167,7 +174,7 @@
 	if err != nil {
 		return
 	}
-	if s.adopt(update.GetBundle(), update.GetOrders()) != nil {
+	if s.adoptBundle(ctx, n, update.GetBundle()) != nil || s.adoptOrders(update.GetOrders()) != nil {
 		return
 	}
 	s.view.Contact(update.GetFailureDomain(), asked)
@@ -176,12 +183,9 @@
 	}
 }
 
-// adopt takes what verifies and returns the first failure.
-func (s *Spread) adopt(b *wire.SignedBundle, orders []*wire.Hold) error {
+// adoptOrders takes the orders that verify and returns the first failure.
+func (s *Spread) adoptOrders(orders []*wire.Hold) error {
 	var first error
-	if b != nil {
-		first = s.adoptBundle(b)
-	}
 	for _, h := range orders {
 		if err := s.adoptOrder(h); err != nil && first == nil {
 			first = err
@@ -190,19 +194,58 @@
 	return first
 }
 
-func (s *Spread) adoptBundle(b *wire.SignedBundle) error {
-	adopted, err := s.view.Adopt(BundleFromWire(b))
+// adoptBundle takes a newer bundle, after asking the peer for the parts that
+// this process does not hold.
+func (s *Spread) adoptBundle(ctx context.Context, from platform.Instance, m *wire.SignedBundle) error {
+	s.adopting <- struct{}{}
+	defer func() { <-s.adopting }()
+	if m == nil || m.GetVersion() <= s.view.Version() {
+		return nil
+	}
+	signed := BundleFromWire(m)
+	err := signed.VerifyPointer(s.view.Keys())
+	if err == nil {
+		if err := s.assemble(ctx, from, signed); err != nil {
+			return err
+		}
+	}
+	adopted := false
+	if err == nil {
+		adopted, err = s.view.Adopt(signed)
+	}
 	if err != nil {
 		s.metrics.Forged()
-		s.log.Warn(events.BundleRefused, events.Fields{"version": b.GetVersion(), "error": err.Error()})
+		s.log.Warn(events.BundleRefused, events.Fields{"version": m.GetVersion(), "error": err.Error()})
 		return err
 	}
 	if adopted {
-		s.log.Info(events.BundleAdopted, events.Fields{"version": b.GetVersion(), "from": "peer"})
+		s.log.Info(events.BundleAdopted, events.Fields{"version": m.GetVersion(), "from": from.Name})
 	}
 	return nil
 }
 
+func (s *Spread) assemble(ctx context.Context, from platform.Instance, signed *bundle.Signed) error {
+	held := s.view.Signed().Parts()
+	digests, _ := bundle.PartDigests(signed.Manifest)
+	missing := &wire.PartsRequest{}
+	for _, d := range digests {
+		if _, ok := held[d]; !ok {
+			missing.Digests = append(missing.Digests, d)
+		}
+	}
+	reply, err := call(ctx, s.clients, from.PeerAddress, partsTimeout,
+		func(ctx context.Context, c wire.PeerClient) (*wire.PartsReply, error) { return c.Parts(ctx, missing) })
+	if err != nil {
+		return err
+	}
+	for i, part := range reply.GetParts() {
+		if i < len(missing.GetDigests()) {
+			held[missing.GetDigests()[i]] = part
+		}
+	}
+	return signed.Assemble(func(digest string) ([]byte, error) { return held[digest], nil })
+}
+
 func (s *Spread) adoptOrder(h *wire.Hold) error {
 	adopted, err := s.view.AdoptOrder(OrderFromWire(h))
 	if err != nil {
@@ -219,7 +262,7 @@
 // TellAll sends the request to every known process and reports who confirmed.
 func (s *Spread) TellAll(ctx context.Context, in *wire.OrderRequest) *wire.OrderReply {
 	out := &wire.OrderReply{InForce: []string{s.self.Instance}}
-	forward := &wire.OrderRequest{Orders: in.GetOrders(), Bundle: in.GetBundle()}
+	forward := &wire.OrderRequest{Orders: in.GetOrders()}
 	var mu sync.Mutex
 	s.forEachOther(func(p platform.Instance) {
 		_, err := call(ctx, s.clients, p.PeerAddress, tellTimeout,
--- a/internal/connection/platform/intent.go
+++ b/internal/connection/platform/intent.go
@@ -50,24 +50,51 @@
 	return s, row.Revision, nil
 }
 
-// Content fetches the content that the pointer names.
-func (i *Intent) Content(ctx context.Context, s *bundle.Signed) error {
-	content, err := i.objects.Fetch(ctx, objectName(s.Digest))
+// Content fetches the manifest that the pointer names and the parts that held
+// does not contain.
+func (i *Intent) Content(ctx context.Context, s *bundle.Signed, held map[string][]byte) error {
+	manifest, err := i.objects.Fetch(ctx, objectName(s.Digest))
 	if err != nil {
 		return err
 	}
-	s.Content = content
-	return nil
+	s.Manifest = manifest
+	return s.Assemble(func(digest string) ([]byte, error) {
+		if part, ok := held[digest]; ok {
+			return part, nil
+		}
+		return i.objects.Fetch(ctx, objectName(digest))
+	})
 }
 
 func objectName(digest string) string { return "bundle-" + digest }
 
+// store puts the parts that the bundle in force lacks, then the manifest.
+func (i *Intent) store(ctx context.Context, now, s *bundle.Signed) error {
+	stored := map[string]bool{}
+	if now != nil {
+		manifest, err := i.objects.Fetch(ctx, objectName(now.Digest))
+		if err != nil {
+			return err
+		}
+		digests, _ := bundle.PartDigests(manifest)
+		for _, d := range digests {
+			stored[d] = true
+		}
+	}
+	for digest, part := range s.Parts() {
+		if stored[digest] {
+			continue
+		}
+		if err := i.objects.Put(ctx, objectName(digest), part); err != nil {
+			return err
+		}
+	}
+	return i.objects.Put(ctx, objectName(s.Digest), s.Manifest)
+}
+
 // Accept makes the signed bundle the one in force, if its version is exactly
 // one above. A lost answer is settled by reading the row back.
 func (i *Intent) Accept(ctx context.Context, s *bundle.Signed) error {
-	if err := i.objects.Put(ctx, objectName(s.Digest), s.Content); err != nil {
-		return err
-	}
 	now, revision, err := i.Pointer(ctx)
 	if err != nil {
 		return err
@@ -82,6 +109,9 @@
 	if s.Version != version+1 {
 		return &ConflictError{Version: version}
 	}
+	if err := i.store(ctx, now, s); err != nil {
+		return err
+	}
 	value, err := json.Marshal(s)
 	if err != nil {
 		return oops.In("platform").Wrap(err)
--- a/internal/connection/platform/poller.go
+++ b/internal/connection/platform/poller.go
@@ -96,7 +96,7 @@
 	if err != nil || pointer == nil || pointer.Version <= p.view.Version() {
 		return err
 	}
-	if err := p.intent.Content(ctx, pointer); err != nil {
+	if err := p.intent.Content(ctx, pointer, p.view.Signed().Parts()); err != nil {
 		return err
 	}
 	adopted, err := p.view.Adopt(pointer)
--- /dev/null
+++ b/internal/connection/rank/group.go
@@ -0,0 +1,78 @@
+package rank
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+
+	"github.com/samber/oops"
+
+	"github.com/cicadareel/cicadareel/internal/connection/peer"
+	"github.com/cicadareel/cicadareel/internal/connection/wire"
+	"github.com/cicadareel/cicadareel/internal/version/expertmap"
+)
+
+// Group reaches the sidecars of one group. It implements expertmap.Group and
+// collects the token counts that come with the replies to queries.
+type Group struct {
+	dialer    *peer.Dialer
+	addresses []netip.AddrPort
+
+	mu sync.Mutex
+	// counts sums the counts received since TakeCounts.
+	counts []float64
+}
+
+// NewGroup returns a group whose member i is reached at addresses[i].
+func NewGroup(d *peer.Dialer, addresses []netip.AddrPort) *Group {
+	return &Group{dialer: d, addresses: addresses}
+}
+
+// Size implements expertmap.Group.
+func (g *Group) Size() int { return len(g.addresses) }
+
+// Send implements expertmap.Group over a connection of its own, since switches
+// are rare and an old connection may have gone silent.
+func (g *Group) Send(ctx context.Context, member int, c expertmap.Command) (expertmap.Report, error) {
+	conn, err := g.dialer.Dial(g.addresses[member])
+	if err != nil {
+		return expertmap.Report{}, err
+	}
+	defer func() { _ = conn.Close() }()
+	in := &wire.MapCommand{BallotCounter: c.Ballot.Counter, BallotOwner: c.Ballot.Owner, Incarnation: c.Incarnation}
+	orderToWire(c.Order, in)
+	out, err := wire.NewGroupClient(conn).Command(ctx, in)
+	if err != nil {
+		return expertmap.Report{}, oops.In("rank").With("address", g.addresses[member].String()).Wrap(err)
+	}
+	g.add(out.GetCounts())
+	return reportFromWire(out), nil
+}
+
+func (g *Group) add(counts []float32) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.counts) < len(counts) {
+		g.counts = append(g.counts, make([]float64, len(counts)-len(g.counts))...)
+	}
+	for i, n := range counts {
+		g.counts[i] += float64(n)
+	}
+}
+
+// TakeCounts returns the summed counts by layer and expert and starts anew. It
+// returns nil if they do not have the shape.
+func (g *Group) TakeCounts(layers, experts int) [][]float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	counts := g.counts
+	g.counts = nil
+	if len(counts) != layers*experts {
+		return nil
+	}
+	out := make([][]float64, layers)
+	for layer := range out {
+		out[layer] = counts[layer*experts : (layer+1)*experts]
+	}
+	return out
+}
--- /dev/null
+++ b/internal/connection/rank/server.go
@@ -0,0 +1,113 @@
+// Package rank carries expert map commands between the coordinator of a group
+// and the sidecars of its ranks.
+package rank
+
+import (
+	"context"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/cicadareel/cicadareel/internal/connection/wire"
+	"github.com/cicadareel/cicadareel/internal/version/expertmap"
+)
+
+// Counter returns the token counts of this rank's experts since the last call,
+// layer by layer.
+type Counter interface {
+	Counts(ctx context.Context) ([]float32, error)
+}
+
+// Server obeys the commands that are meant for one endpoint's ranks.
+type Server struct {
+	wire.UnimplementedGroupServer
+
+	rank    *expertmap.Rank
+	counter Counter
+}
+
+// NewServer returns a server.
+func NewServer(r *expertmap.Rank, c Counter) *Server { return &Server{rank: r, counter: c} }
+
+// Command obeys one command.
+func (s *Server) Command(ctx context.Context, in *wire.MapCommand) (*wire.RankReport, error) {
+	order, ok := orderFromWire(in)
+	if !ok {
+		return nil, status.Error(codes.InvalidArgument, "unknown phase")
+	}
+	report, err := s.rank.Obey(ctx, expertmap.Command{
+		Ballot:      expertmap.Ballot{Counter: in.GetBallotCounter(), Owner: in.GetBallotOwner()},
+		Incarnation: in.GetIncarnation(),
+		Order:       order,
+	})
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	out := reportToWire(report)
+	if in.GetCounts() {
+		if out.Counts, err = s.counter.Counts(ctx); err != nil {
+			return nil, status.Error(codes.Unavailable, err.Error())
+		}
+	}
+	return out, nil
+}
+
+func orderFromWire(in *wire.MapCommand) (expertmap.Order, bool) {
+	switch in.GetPhase() {
+	case wire.MapPhase_MAP_PHASE_QUERY:
+		return expertmap.Query{}, true
+	case wire.MapPhase_MAP_PHASE_STAGE:
+		return expertmap.Stage{Map: expertmap.ID(in.GetMapId()), Content: in.GetMap()}, true
+	case wire.MapPhase_MAP_PHASE_HOLD:
+		return expertmap.Hold{Step: in.GetStep()}, true
+	case wire.MapPhase_MAP_PHASE_ACTIVATE:
+		return expertmap.Activate{Map: expertmap.ID(in.GetMapId()), Step: in.GetStep()}, true
+	case wire.MapPhase_MAP_PHASE_RELEASE:
+		return expertmap.Release{}, true
+	}
+	return nil, false
+}
+
+func orderToWire(o expertmap.Order, out *wire.MapCommand) {
+	switch k := o.(type) {
+	case expertmap.Query:
+		out.Phase, out.Counts = wire.MapPhase_MAP_PHASE_QUERY, true
+	case expertmap.Stage:
+		out.Phase, out.MapId, out.Map = wire.MapPhase_MAP_PHASE_STAGE, string(k.Map), k.Content
+	case expertmap.Hold:
+		out.Phase, out.Step = wire.MapPhase_MAP_PHASE_HOLD, k.Step
+	case expertmap.Activate:
+		out.Phase, out.MapId, out.Step = wire.MapPhase_MAP_PHASE_ACTIVATE, string(k.Map), k.Step
+	case expertmap.Release:
+		out.Phase = wire.MapPhase_MAP_PHASE_RELEASE
+	}
+}
+
+func reportToWire(r expertmap.Report) *wire.RankReport {
+	return &wire.RankReport{
+		Obeyed:          r.Obeyed,
+		Incarnation:     r.Incarnation,
+		PromisedCounter: r.Promised.Counter,
+		PromisedOwner:   r.Promised.Owner,
+		Step:            r.State.Step,
+		Active:          string(r.State.Active),
+		Staged:          string(r.State.Staged),
+		ActiveFrom:      r.State.ActiveFrom,
+		HoldStep:        r.State.HoldStep,
+	}
+}
+
+func reportFromWire(m *wire.RankReport) expertmap.Report {
+	return expertmap.Report{
+		Obeyed:      m.GetObeyed(),
+		Incarnation: m.GetIncarnation(),
+		Promised:    expertmap.Ballot{Counter: m.GetPromisedCounter(), Owner: m.GetPromisedOwner()},
+		State: expertmap.EngineState{
+			Step:       m.GetStep(),
+			Active:     expertmap.ID(m.GetActive()),
+			Staged:     expertmap.ID(m.GetStaged()),
+			ActiveFrom: m.GetActiveFrom(),
+			HoldStep:   m.GetHoldStep(),
+		},
+	}
+}
--- a/internal/process/events/events.go
+++ b/internal/process/events/events.go
@@ -19,17 +19,13 @@
 	OrderRefused        Event = 203
 	PlatformUnreachable Event = 204
 	PlatformReachable   Event = 205
-	ViewStale           Event = 206
-	ViewFresh           Event = 207
 	LinkUp              Event = 300
 	LinkDown            Event = 301
 	PeerMisbehaved      Event = 302
 	RequestUnknown      Event = 400
 	RequestCut          Event = 401
-	EndpointCold        Event = 500
 	EndpointUnready     Event = 501
 	EndpointReady       Event = 502
-	GateLimitRaised     Event = 503
 	MapActivated        Event = 600
 	MapSwitchFailed     Event = 601
 )
@@ -45,17 +41,13 @@
 	OrderRefused:        "order refused",
 	PlatformUnreachable: "platform unreachable",
 	PlatformReachable:   "platform reachable again",
-	ViewStale:           "view is stale, refusing new work",
-	ViewFresh:           "view is fresh again",
 	LinkUp:              "link to sidecar up",
 	LinkDown:            "link to sidecar down",
 	PeerMisbehaved:      "malformed message from peer",
 	RequestUnknown:      "request outcome unknown",
 	RequestCut:          "answer to caller cut",
-	EndpointCold:        "endpoint is cold",
 	EndpointUnready:     "endpoint load report missing",
 	EndpointReady:       "endpoint load report received",
-	GateLimitRaised:     "gate limit raised",
 	MapActivated:        "expert map activated",
 	MapSwitchFailed:     "expert map switch failed",
 }
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -3,18 +3,21 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cicadareel/cicadareel/internal/connection/endpoint"
 	"github.com/cicadareel/cicadareel/internal/connection/entry"
 	"github.com/cicadareel/cicadareel/internal/connection/operator"
+	"github.com/cicadareel/cicadareel/internal/connection/rank"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
 	"github.com/cicadareel/cicadareel/internal/process"
 	"github.com/cicadareel/cicadareel/internal/process/events"
 	"github.com/cicadareel/cicadareel/internal/process/settings"
 	"github.com/cicadareel/cicadareel/internal/request/gate"
 	"github.com/cicadareel/cicadareel/internal/request/outcome"
+	"github.com/cicadareel/cicadareel/internal/version/expertmap"
 	"github.com/cicadareel/cicadareel/pkg/bundle"
 	"github.com/cicadareel/cicadareel/pkg/order"
 )
@@ -50,6 +53,8 @@
 	monitor := endpoint.NewMonitor(duties, client, p.gate, p.kind, p.leaving.Store, c.Log)
 	server := entry.NewServer(duties, s.Endpoint, c.Incarnation, p.gate, client, c.Log, c.Metrics)
 	wire.RegisterSidecarServer(c.Server, server)
+	engine := endpoint.NewMapEngine(client)
+	wire.RegisterGroupServer(c.Server, rank.NewServer(expertmap.NewRank(engine, c.Incarnation), engine))
 	ops, err := operator.NewServer(s.OperatorAddress, c.Metrics, func() bool { return p.gate.State().Open })
 	if err != nil {
 		return err
@@ -58,7 +63,9 @@
 	if err := c.Serve(func(out *wire.ProcessStatus) { out.Gate = entry.GateToWire(p.gate.State()) }); err != nil {
 		return err
 	}
-	go p.configureLoop(duties)
+	var loops sync.WaitGroup
+	loops.Go(func() { p.configureLoop(duties) })
+	loops.Go(func() { newExperts(p, engine).loop(duties) })
 	c.Log.Info(events.ProcessStarted, events.Fields{"endpoint": s.Endpoint, "incarnation": c.Incarnation})
 
 	<-ctx.Done()
@@ -70,6 +77,7 @@
 	stop()
 	c.Close(streamGrace)
 	server.Wait()
+	loops.Wait()
 	monitor.Wait()
 	ops.Close(context.Background())
 	c.Log.Info(events.ProcessStopped, nil)
--- a/internal/request/retry/retry.go
+++ b/internal/request/retry/retry.go
@@ -12,8 +12,8 @@
 	MaxAttempts = 3
 	// budgetRatio is the share of requests that may be retried.
 	budgetRatio = 0.1
-	// budgetReserve is the number of retries allowed to an entry at rest.
-	budgetReserve = 10
+	// budgetReserve bounds the retries of an entry that come all at once.
+	budgetReserve = 32
 )
 
 // Budget bounds the retries that put load on endpoints to a share of the
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -42,6 +42,8 @@
 	boot     string
 	recorder *recorder
 	leaving  atomic.Bool
+	// Ranks is the expert map side; nil without one.
+	Ranks *MapRank
 }
 
 // NewEngine returns a cold engine.
@@ -67,6 +69,9 @@
 	mux.HandleFunc("GET /record", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.Record(), nil) })
 	mux.HandleFunc("POST /cold", func(http.ResponseWriter, *http.Request) { e.TurnCold() })
 	mux.HandleFunc("POST /leave", func(http.ResponseWriter, *http.Request) { e.Leave() })
+	if e.Ranks != nil {
+		e.Ranks.Register(mux)
+	}
 	mux.HandleFunc("/", e.serve)
 	return mux
 }
--- a/internal/system/system_test.go
+++ b/internal/system/system_test.go
@@ -1,8 +1,10 @@
 package system
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -154,6 +156,21 @@
 		Expect(t.Reasons["claimStoreDown"]).To(BeNumerically(">", 0))
 	})
 
+	It("switched the expert map, and every step used one map at all ranks", func() {
+		ranks := []*node{}
+		for _, n := range c.nodes {
+			if strings.HasPrefix(n.name, "engine") {
+				ranks = append(ranks, n)
+			}
+		}
+		Eventually(func() int { return len(ranks[0].mapHistory()) }, patience).Should(BeNumerically(">", 0))
+		Eventually(func(g Gomega) {
+			for _, n := range ranks {
+				g.Expect(n.mapHistory()).To(Equal(ranks[0].mapHistory()), n.name)
+			}
+		}, patience).Should(Succeed())
+	})
+
 	It("give nothing to an endpoint that is leaving", func() {
 		n := c.nodes[1]
 		expectAllWhole(under(func() {
@@ -167,6 +184,18 @@
 	})
 })
 
+// mapHistory returns from which step on the endpoint used each map.
+func (n *node) mapHistory() []standin.MapUse {
+	resp, err := http.Get("http://" + n.endpointAddress + "/map/history")
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	history := []standin.MapUse{}
+	_ = json.NewDecoder(resp.Body).Decode(&history)
+	return history
+}
+
 // draft sends one draft through an entry and returns the answer's body.
 func (c *cluster) draft(entry int, body string) string {
 	return standin.Draft("http://"+c.doors[entry]+"/draft", "token", body)
--- a/internal/version/expertmap/coordinator.go
+++ b/internal/version/expertmap/coordinator.go
@@ -67,6 +67,9 @@
 	return &Coordinator{group: g, owner: owner}
 }
 
+// SetGroup replaces the way to the ranks. Do not call it during a switch.
+func (c *Coordinator) SetGroup(g Group) { c.group = g }
+
 // Switch brings all ranks to the map, after it finished a switch that
 // another coordinator left behind. If it fails before any rank activated, it
 // releases the ranks; a later Switch settles the rest.
--- a/internal/version/view/view.go
+++ b/internal/version/view/view.go
@@ -122,6 +122,9 @@
 	return [sha256.Size]byte(h.Sum(nil))
 }
 
+// Keys returns the trusted operator keys.
+func (v *View) Keys() bundle.KeySet { return v.keys }
+
 // Version returns the version in force, 0 if none.
 func (v *View) Version() uint64 {
 	v.mu.Lock()
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -51,10 +51,28 @@
 	// WarmAfter is the number of healthy answers that a cold endpoint needs
 	// before its limit may grow above ColdLimit; at least 0.
 	WarmAfter int `toml:"warmAfter"`
+	// Experts describes the expert map; absent for groups without one.
+	Experts *Experts `toml:"experts"`
 	// QueueLimit bounds the requests waiting in one sidecar; at least 0.
 	QueueLimit int `toml:"queueLimit"`
 }
 
+// Experts describes the experts of a model group and the cost of moving them.
+type Experts struct {
+	// Layers and PerLayer are the numbers of layers and of experts in each.
+	Layers   int `toml:"layers"`
+	PerLayer int `toml:"perLayer"`
+	// RanksPerEndpoint is the number of ranks on one instance.
+	RanksPerEndpoint int `toml:"ranksPerEndpoint"`
+	// SlotsPerRank is the number of experts of a layer that a rank holds; all
+	// slots of the group together hold every expert.
+	SlotsPerRank int `toml:"slotsPerRank"`
+	// Bytes is the size of one expert of one layer.
+	Bytes int64 `toml:"bytes"`
+	// StoreBytesPerSecond is the weight store's rate for the group.
+	StoreBytesPerSecond int64 `toml:"storeBytesPerSecond"`
+}
+
 // Endpoint is one model engine or plain service.
 type Endpoint struct {
 	// Name is unique among endpoints.
@@ -130,6 +148,17 @@
 // Endpoint returns the endpoint with the given name, or nil.
 func (b *Bundle) Endpoint(name string) *Endpoint { return b.index.endpoints[name] }
 
+// EndpointsOf returns the names of a group's endpoints, in order.
+func (b *Bundle) EndpointsOf(group string) []string {
+	names := []string{}
+	for i := range b.Endpoints {
+		if b.Endpoints[i].Group == group {
+			names = append(names, b.Endpoints[i].Name)
+		}
+	}
+	return names
+}
+
 // HasFailureDomain reports whether the bundle names the failure domain.
 func (b *Bundle) HasFailureDomain(name string) bool {
 	for i := range b.FailureDomains {
--- a/pkg/bundle/bundle_test.go
+++ b/pkg/bundle/bundle_test.go
@@ -3,8 +3,10 @@
 import (
 	"crypto/ed25519"
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -71,6 +73,11 @@
 	})
 })
 
+func indexOf(manifest []byte, digest string) int {
+	digests, _ := bundle.PartDigests(manifest)
+	return slices.Index(digests, digest)
+}
+
 var _ = Describe("Signed", func() {
 	public, private, _ := ed25519.GenerateKey(nil)
 	keys := bundle.KeySet{"anna": public}
@@ -87,6 +94,36 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	It("is assembled from parts, of which a change of one account replaces few", func() {
+		text := "version = 1\nfailureDomains = [{name=\"a\"}]\n"
+		for i := range 3000 {
+			text += fmt.Sprintf("[[clientAccounts]]\nname = \"c%d\"\ntokenHashes = [%q]\nweight = 1\n\n", i, bundle.HashToken(fmt.Sprint(i)))
+		}
+		changed := strings.Replace(text, bundle.HashToken("1500"), bundle.HashToken("new"), 1)
+		before, err := bundle.Sign([]byte(text), "anna", private)
+		Expect(err).NotTo(HaveOccurred())
+		after, err := bundle.Sign([]byte(changed), "anna", private)
+		Expect(err).NotTo(HaveOccurred())
+		held := before.Parts()
+		fetched := 0
+		after.Content = nil
+		Expect(after.Assemble(func(digest string) ([]byte, error) {
+			if p := held[digest]; p != nil {
+				return p, nil
+			}
+			fetched++
+			return bundle.Split([]byte(changed))[indexOf(after.Manifest, digest)], nil
+		})).To(Succeed())
+		Expect(string(after.Content)).To(Equal(changed))
+		Expect(fetched).To(BeNumerically("<=", 3))
+		_, err = after.Open(keys)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("is not assembled from a part that was changed", func() {
+		Expect(signed.Assemble(func(string) ([]byte, error) { return []byte("x"), nil })).NotTo(Succeed())
+	})
+
 	DescribeTable("refuses what was changed", func(change func(*bundle.Signed)) {
 		change(signed)
 		_, err := signed.Open(keys)
--- a/pkg/bundle/check.go
+++ b/pkg/bundle/check.go
@@ -68,11 +68,26 @@
 		c.require(g.ColdLimit >= 1, table, "coldLimit", "must be at least 1")
 		c.require(g.WarmLimit >= g.ColdLimit, table, "warmLimit", "must be at least coldLimit")
 		c.require(g.WarmAfter >= 0, table, "warmAfter", "must not be negative")
+		c.checkExperts(b, &g, table)
 		c.require(g.QueueLimit >= 0, table, "queueLimit", "must not be negative")
 	}
 	return seen
 }
 
+func (c *checker) checkExperts(b *Bundle, g *Group, table string) {
+	e := g.Experts
+	if e == nil {
+		return
+	}
+	table = joinKey(table, "experts")
+	c.require(g.Kind == KindModel, table, "layers", "experts are for groups of kind %q", KindModel)
+	c.require(e.Layers >= 1 && e.PerLayer >= 1, table, "layers", "layers and perLayer must be at least 1")
+	c.require(e.RanksPerEndpoint >= 1 && e.SlotsPerRank >= 1, table, "slotsPerRank", "ranksPerEndpoint and slotsPerRank must be at least 1")
+	c.require(e.Bytes >= 1 && e.StoreBytesPerSecond >= 1, table, "bytes", "bytes and storeBytesPerSecond must be at least 1")
+	endpoints := len(b.EndpointsOf(g.Name))
+	c.require(endpoints*e.RanksPerEndpoint*e.SlotsPerRank >= e.PerLayer, table, "slotsPerRank", "the group's slots do not hold all experts")
+}
+
 func (c *checker) checkEndpoints(b *Bundle, groups, domains map[string]bool) {
 	seen := map[string]bool{}
 	for i, e := range b.Endpoints {
--- a/pkg/bundle/signed.go
+++ b/pkg/bundle/signed.go
@@ -1,6 +1,7 @@
 package bundle
 
 import (
+	"bytes"
 	"crypto/ed25519"
 	"crypto/sha256"
 	"encoding/hex"
@@ -10,12 +11,15 @@
 // Signed is a bundle's content with the signature of an operator.
 type Signed struct {
 	Version uint64 `json:"version"`
-	// Digest is the hex SHA-256 of Content.
+	// Digest is the hex SHA-256 of Manifest.
 	Digest string `json:"digest"`
 	// Author names the operator key that signed.
 	Author    string `json:"author"`
 	Signature []byte `json:"signature"`
-	// Content is the TOML text; empty where only the pointer is carried.
+	// Manifest lists the digests of the content's parts; empty where only the
+	// pointer is carried.
+	Manifest []byte `json:"-"`
+	// Content is the TOML text; empty until it is assembled.
 	Content []byte `json:"-"`
 }
 
@@ -55,11 +59,19 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Signed{Version: b.Version, Digest: Digest(content), Author: author, Content: content}
+	s := &Signed{Version: b.Version, Author: author}
+	s.SetContent(content)
+	s.Digest = Digest(s.Manifest)
 	s.Signature = ed25519.Sign(key, s.message())
 	return s, nil
 }
 
+// SetContent sets the content and the manifest of its parts.
+func (s *Signed) SetContent(content []byte) {
+	s.Content = content
+	s.Manifest = newManifest(Split(content))
+}
+
 func (s *Signed) message() []byte {
 	return fmt.Appendf(nil, "cicadareel bundle\n%d\n%s\n%s\n", s.Version, s.Digest, s.Author)
 }
@@ -73,14 +85,22 @@
 	return nil
 }
 
+// contentMatches reports whether the content is made of the manifest's parts.
+func (s *Signed) contentMatches() bool {
+	return bytes.Equal(newManifest(Split(s.Content)), s.Manifest)
+}
+
 // Open verifies the signature and the digest and parses the content.
 func (s *Signed) Open(keys KeySet) (*Bundle, error) {
 	if err := s.VerifyPointer(keys); err != nil {
 		return nil, err
 	}
-	if got := Digest(s.Content); got != s.Digest {
+	if got := Digest(s.Manifest); got != s.Digest {
 		return nil, &DigestMismatchError{Want: s.Digest, Got: got}
 	}
+	if !s.contentMatches() {
+		return nil, &MalformedManifestError{}
+	}
 	b, err := Parse(s.Content)
 	if err != nil {
 		return nil, err
