Share hashing and strict TOML, reach endpoints outside the subset

Cause: a read of the whole found the same hash in two packages and the same TOML error handling in two; a keyed repeat whose claim names an endpoint outside the entry's subset could never follow it; an operator's take-out waited up to 2 s for the status of silent processes before it was given; requests in progress at an entry were bounded by memory only. Change: packages rendezvous and stricttoml; links made on demand for claims; orders are told first and recorded second, and an unknown target is refused by the process that is told; at most 8,192 requests in progress at an entry.

--- a/internal/cli/order.go
+++ b/internal/cli/order.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"time"
 
 	"github.com/urfave/cli/v3"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/cicadareel/cicadareel/internal/connection/peer"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
@@ -47,34 +50,32 @@
 		if err != nil {
 			return err
 		}
-		reply, err := k.statusEverywhere(ctx)
-		if err != nil {
-			return err
-		}
-		if !knownTarget(reply, target) {
-			return &UsageError{Problem: "no process reports an endpoint or failure domain named " + target}
-		}
 		o := order.Order{ID: rand.Text(), Target: target, Kind: kind, Created: time.Now()}
 		if kind == order.Return {
-			o.Releases = holdsOn(reply, target)
-			if len(o.Releases) == 0 {
-				return &UsageError{Problem: "no hold is in force on " + target}
+			if o.Releases, err = k.holdsOn(ctx, target); err != nil {
+				return err
 			}
 		}
 		return k.issue(ctx, c, o)
 	}
 }
 
+// issue tells all processes first, so that a silent process or table does not
+// delay the others, and then records the order. Without any process in reach,
+// the record alone makes it take effect.
 func (k *client) issue(ctx context.Context, c *cli.Command, o order.Order) error {
 	key, err := k.privateKey()
 	if err != nil {
 		return err
 	}
 	o.Sign(k.settings.OperatorName, key)
-	recorded := k.intent.Record(ctx, []order.Order{o}) == nil
 	reply, err := k.tell(ctx, &wire.OrderRequest{Orders: []*wire.Hold{peer.OrderToWire(o)}})
+	if refusal := asRefusal(err); refusal != nil {
+		return refusal
+	}
+	recorded := k.intent.Record(ctx, []order.Order{o}) == nil
 	if err != nil {
-		return err
+		return &NotConfirmedError{Recorded: recorded, Cause: err}
 	}
 	return reportOrder(c, orderResult{
 		ID:          o.ID,
@@ -87,6 +88,33 @@
 	})
 }
 
+// asRefusal returns the refusal of a process that answered, else nil.
+func asRefusal(err error) error {
+	var unreachable *UnreachableError
+	if errors.As(err, &unreachable) && status.Code(unreachable.Cause) == codes.InvalidArgument {
+		return &order.InvalidError{Problem: status.Convert(unreachable.Cause).Message()}
+	}
+	return nil
+}
+
+// NotConfirmedError reports an order that no process confirmed.
+type NotConfirmedError struct {
+	// Recorded tells whether the platform's table has it, from where every
+	// process in reach of the table takes it within seconds.
+	Recorded bool
+	Cause    error
+}
+
+func (e *NotConfirmedError) Error() string {
+	if e.Recorded {
+		return "recorded, but no process confirmed it: " + e.Cause.Error()
+	}
+	return "neither recorded nor confirmed: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *NotConfirmedError) Unwrap() error { return e.Cause }
+
 func reportOrder(c *cli.Command, r orderResult) error {
 	total := len(r.InForce) + len(r.Unreachable)
 	if c.Bool("json") {
@@ -106,15 +134,6 @@
 	return nil
 }
 
-func knownTarget(reply *wire.StatusReply, target string) bool {
-	for _, p := range reply.GetProcesses() {
-		if p.GetEndpoint() == target || p.GetFailureDomain() == target {
-			return true
-		}
-	}
-	return false
-}
-
 // holdsInForce returns the holds that no Return releases.
 func holdsInForce(reply *wire.StatusReply) []order.Order {
 	released := map[string]bool{}
@@ -132,14 +151,25 @@
 	return holds
 }
 
-func holdsOn(reply *wire.StatusReply, target string) []string {
+// holdsOn returns the ids of the holds in force on the target, as one process
+// knows them.
+func (k *client) holdsOn(ctx context.Context, target string) ([]string, error) {
+	reply, err := anyPeer(ctx, k, func(ctx context.Context, p wire.PeerClient) (*wire.StatusReply, error) {
+		return p.Status(ctx, &wire.StatusRequest{})
+	})
+	if err != nil {
+		return nil, err
+	}
 	ids := []string{}
 	for _, o := range holdsInForce(reply) {
 		if o.Target == target {
 			ids = append(ids, o.ID)
 		}
 	}
-	return ids
+	if len(ids) == 0 {
+		return nil, &UsageError{Problem: "no hold is in force on " + target}
+	}
+	return ids, nil
 }
 
 func listOrders(ctx context.Context, c *cli.Command) error {
--- a/internal/connection/caller/service.go
+++ b/internal/connection/caller/service.go
@@ -19,6 +19,10 @@
 	"github.com/cicadareel/cicadareel/pkg/bundle"
 )
 
+// requestLimit bounds the requests in progress at one entry, so that their
+// bodies fit its memory.
+const requestLimit = 8192
+
 // Target is an endpoint that may take an attempt.
 type Target struct {
 	Member *choice.Member
@@ -50,6 +54,8 @@
 	budget  *retry.Budget
 	log     *events.Log
 	metrics *metrics.Metrics
+	// inProgress counts requests from their check to their outcome.
+	inProgress atomic.Int64
 	// waiters counts the requests that wait for an eligible endpoint.
 	waiters atomic.Int64
 }
@@ -67,6 +73,11 @@
 		s.refuse(w, outcome.NotRun{Reason: outcome.NoBundle}, "no bundle is in force yet", "")
 		return
 	}
+	defer s.inProgress.Add(-1)
+	if s.inProgress.Add(1) > requestLimit {
+		s.refuse(w, outcome.NotRun{Reason: outcome.Overloaded}, "the entry carries as many requests as it may", "")
+		return
+	}
 	q, err := readRequest(w, r, b, now)
 	var invalid *InvalidRequestError
 	if errors.As(err, &invalid) {
--- a/internal/connection/peer/neighbours.go
+++ b/internal/connection/peer/neighbours.go
@@ -1,10 +1,10 @@
 package peer
 
 import (
-	"hash/fnv"
 	"sort"
 
 	"github.com/cicadareel/cicadareel/internal/connection/platform"
+	"github.com/cicadareel/cicadareel/internal/rendezvous"
 )
 
 const (
@@ -67,7 +67,7 @@
 
 func closest(self string, peers []platform.Instance, limit int) []platform.Instance {
 	sort.Slice(peers, func(i, j int) bool {
-		a, b := pairHash(self, peers[i].Name), pairHash(self, peers[j].Name)
+		a, b := rendezvous.Score(self, peers[i].Name), rendezvous.Score(self, peers[j].Name)
 		if a != b {
 			return a < b
 		}
@@ -75,20 +75,3 @@
 	})
 	return peers[:min(limit, len(peers))]
 }
-
-func pairHash(self, other string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(self))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(other))
-	return mix(h.Sum64())
-}
-
-// mix spreads the bits of an FNV hash (finalizer of MurmurHash3).
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -8,6 +8,7 @@
 	"github.com/cicadareel/cicadareel/internal/process/events"
 	"github.com/cicadareel/cicadareel/internal/process/metrics"
 	"github.com/cicadareel/cicadareel/internal/version/view"
+	"github.com/cicadareel/cicadareel/pkg/order"
 )
 
 // StatusSource describes this process for status replies.
@@ -56,6 +57,9 @@
 
 // Order adopts orders and, if asked, tells every other process.
 func (s *Server) Order(ctx context.Context, in *wire.OrderRequest) (*wire.OrderReply, error) {
+	if err := s.checkTargets(in); err != nil {
+		return nil, grpcError(err)
+	}
 	if err := s.spread.adoptOrders(in.GetOrders()); err != nil {
 		return nil, grpcError(err)
 	}
@@ -65,6 +69,21 @@
 	return s.spread.TellAll(ctx, in), nil
 }
 
+// checkTargets refuses an operator's order on a target that the bundle in force
+// does not name. Orders passed on by other processes are taken as they are.
+func (s *Server) checkTargets(in *wire.OrderRequest) error {
+	b := s.view.Bundle()
+	if b == nil || !in.GetSpread() {
+		return nil
+	}
+	for _, o := range in.GetOrders() {
+		if b.Endpoint(o.GetTarget()) == nil && !b.HasFailureDomain(o.GetTarget()) {
+			return &order.InvalidError{Problem: "no endpoint or failure domain is named " + o.GetTarget()}
+		}
+	}
+	return nil
+}
+
 // Parts returns parts of the bundle in force.
 func (s *Server) Parts(_ context.Context, in *wire.PartsRequest) (*wire.PartsReply, error) {
 	held := s.view.Signed().Parts()
--- a/internal/process/entry/fleet.go
+++ b/internal/process/entry/fleet.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 
 	"github.com/cicadareel/cicadareel/internal/connection/caller"
@@ -44,6 +46,9 @@
 
 	mu    sync.RWMutex
 	nodes map[string]*node
+	// visited holds nodes outside this entry's subset that keyed repeats had to
+	// reach; they take no new work and go at the next rebuild.
+	visited map[string]*node
 	// tables holds the nodes of each group.
 	tables map[string]*choice.Table
 }
@@ -57,6 +62,7 @@
 		log:      l,
 		metrics:  x,
 		nodes:    map[string]*node{},
+		visited:  map[string]*node{},
 		tables:   map[string]*choice.Table{},
 	}
 }
@@ -77,17 +83,35 @@
 	return caller.Target{Member: m, Link: n.link}, true
 }
 
-// Find implements caller.Fleet.
+// Find implements caller.Fleet. An endpoint outside the subset gets a link of
+// its own.
 func (f *fleet) Find(endpoint string) (caller.Target, bool) {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	n := f.nodes[endpoint]
+	if n == nil {
+		n = f.visit(endpoint)
+	}
 	if n == nil {
 		return caller.Target{}, false
 	}
 	return caller.Target{Member: n.member, Link: n.link}, true
 }
 
+func (f *fleet) visit(endpoint string) *node {
+	if n := f.visited[endpoint]; n != nil {
+		return n
+	}
+	e := f.view.Bundle().Endpoint(endpoint)
+	at, ok := f.sidecarAddresses()[endpoint]
+	if e == nil || !ok {
+		return nil
+	}
+	n := f.newNode(e, at)
+	f.visited[endpoint] = n
+	return n
+}
+
 // refresh follows the bundle, the holds and the instance list.
 func (f *fleet) refresh() {
 	b := f.view.Bundle()
@@ -116,7 +140,8 @@
 	wanted := f.wanted(b, addresses)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	dropped := []*node{}
+	dropped := slices.Collect(maps.Values(f.visited))
+	f.visited = map[string]*node{}
 	for name, n := range f.nodes {
 		if at, ok := wanted[name]; !ok || at != n.link.Address() {
 			dropped = append(dropped, n)
@@ -182,8 +207,8 @@
 // close ends all links.
 func (f *fleet) close() {
 	f.mu.Lock()
-	nodes := f.nodes
-	f.nodes = map[string]*node{}
+	nodes := append(slices.Collect(maps.Values(f.nodes)), slices.Collect(maps.Values(f.visited))...)
+	f.nodes, f.visited = map[string]*node{}, map[string]*node{}
 	f.tables = map[string]*choice.Table{}
 	f.mu.Unlock()
 	for _, n := range nodes {
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -2,18 +2,16 @@
 package settings
 
 import (
-	"bytes"
 	"crypto/ed25519"
 	"encoding/base64"
-	"errors"
 	"fmt"
 	"net/netip"
 	"os"
 	"strings"
 
-	"github.com/pelletier/go-toml/v2"
 	"github.com/samber/oops"
 
+	"github.com/cicadareel/cicadareel/internal/stricttoml"
 	"github.com/cicadareel/cicadareel/pkg/bundle"
 )
 
@@ -85,6 +83,14 @@
 	return fmt.Sprintf("settings have %d problem(s):\n  %s", len(e.Problems), strings.Join(e.Problems, "\n  "))
 }
 
+func newInvalidError(problems []stricttoml.Problem) *InvalidError {
+	e := &InvalidError{}
+	for _, p := range problems {
+		e.Problems = append(e.Problems, fmt.Sprintf("line %d: %s: %s", p.Line, p.Key, p.Text))
+	}
+	return e
+}
+
 // Keys returns the trusted operator keys.
 func (s *Settings) Keys() bundle.KeySet { return s.keys }
 
@@ -100,10 +106,8 @@
 // Parse reads and checks settings from TOML text.
 func Parse(content []byte) (*Settings, error) {
 	s := &Settings{LogLevel: "info"}
-	d := toml.NewDecoder(bytes.NewReader(content))
-	d.DisallowUnknownFields()
-	if err := d.Decode(s); err != nil {
-		return nil, &InvalidError{Problems: decodeProblems(err)}
+	if problems := stricttoml.Decode(content, s); len(problems) > 0 {
+		return nil, newInvalidError(problems)
 	}
 	c := checker{}
 	s.keys = c.parseKeys(s.OperatorKeys)
@@ -114,24 +118,6 @@
 	return s, nil
 }
 
-func decodeProblems(err error) []string {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) {
-		problems := []string{}
-		for i := range strict.Errors {
-			line, _ := strict.Errors[i].Position()
-			problems = append(problems, fmt.Sprintf("line %d: %s: unknown key", line, strings.Join(strict.Errors[i].Key(), ".")))
-		}
-		return problems
-	}
-	var decode *toml.DecodeError
-	if errors.As(err, &decode) {
-		line, _ := decode.Position()
-		return []string{fmt.Sprintf("line %d: %s: %s", line, strings.Join(decode.Key(), "."), decode.Error())}
-	}
-	return []string{err.Error()}
-}
-
 // ParseKey reads one "name:base64" public key.
 func ParseKey(text string) (string, ed25519.PublicKey, bool) {
 	name, encoded, found := strings.Cut(text, ":")
--- a/internal/request/choice/subset.go
+++ b/internal/request/choice/subset.go
@@ -1,8 +1,9 @@
 package choice
 
 import (
-	"hash/fnv"
 	"sort"
+
+	"github.com/cicadareel/cicadareel/internal/rendezvous"
 )
 
 // Site is an endpoint and its failure domain.
@@ -32,18 +33,10 @@
 
 func rank(entry string, sites []Site) {
 	sort.Slice(sites, func(i, j int) bool {
-		a, b := affinity(entry, sites[i].Name), affinity(entry, sites[j].Name)
+		a, b := rendezvous.Score(entry, sites[i].Name), rendezvous.Score(entry, sites[j].Name)
 		if a != b {
 			return a < b
 		}
 		return sites[i].Name < sites[j].Name
 	})
 }
-
-func affinity(entry, endpoint string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(entry))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(endpoint))
-	return scatter(h.Sum64())
-}
--- a/internal/request/choice/table.go
+++ b/internal/request/choice/table.go
@@ -1,9 +1,11 @@
 package choice
 
 import (
-	"hash/fnv"
 	"math/rand/v2"
 	"sort"
+	"strconv"
+
+	"github.com/cicadareel/cicadareel/internal/rendezvous"
 )
 
 const (
@@ -72,35 +74,15 @@
 			t.local = append(t.local, m)
 		}
 		for i := range ringPoints {
-			t.ring = append(t.ring, point{hash: pointHash(m.Name, i), member: m})
+			t.ring = append(t.ring, point{hash: rendezvous.Score(m.Name, strconv.Itoa(i)), member: m})
 		}
 	}
 	sort.Slice(t.ring, func(i, j int) bool { return t.ring[i].hash < t.ring[j].hash })
 	return t
 }
 
-func pointHash(name string, i int) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(name))
-	_, _ = h.Write([]byte{0, byte(i)})
-	return scatter(h.Sum64())
-}
-
-// scatter spreads the bits of a hash (finalizer of MurmurHash3).
-func scatter(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 // Prefix hashes the start of a prompt.
-func Prefix(start []byte) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write(start)
-	return scatter(h.Sum64())
-}
+func Prefix(start []byte) uint64 { return rendezvous.Hash(start) }
 
 // Choose returns a member for the query, or nil if none is eligible.
 func (t *Table) Choose(q *Query) *Member {
--- a/internal/request/outcome/outcome.go
+++ b/internal/request/outcome/outcome.go
@@ -30,6 +30,7 @@
 	Malformed           Reason = "malformed"
 	TooLarge            Reason = "tooLarge"
 	NoBundle            Reason = "noBundle"
+	Overloaded          Reason = "overloaded"
 	NoEndpoint          Reason = "noEndpoint"
 	Held                Reason = "held"
 	Leaving             Reason = "leaving"
@@ -56,7 +57,7 @@
 // Reasons lists every reason, for registering counters.
 func Reasons() []Reason {
 	return []Reason{
-		Unauthorized, NoRoute, Malformed, TooLarge, NoBundle, NoEndpoint, Held, Leaving,
+		Unauthorized, NoRoute, Malformed, TooLarge, NoBundle, Overloaded, NoEndpoint, Held, Leaving,
 		StaleView, QueueFull, DeadlineTooShort, WrongIncarnation, OldEpoch, Sealed,
 		AlreadyAdmitted, NotReady, ClaimStoreDown, KeyReused, AnswerNotKept,
 		RetryBudgetSpent, EndpointUnreachable, EndpointBroke, ConnectionLost,
--- a/internal/system/cluster_test.go
+++ b/internal/system/cluster_test.go
@@ -72,6 +72,8 @@
 	nodes    []*node
 	children []*child
 	key      string
+	// leaving names the instance that the platform lists as leaving.
+	leaving string
 }
 
 // binaries builds the programs once.
@@ -184,6 +186,11 @@
 		list = append(list, platform.Instance{Name: "sidecar-" + n.name, Role: "sidecar", FailureDomain: n.domain,
 			PeerAddress: netip.MustParseAddrPort(n.relay.Address()), Endpoint: n.name, State: platform.StateLive})
 	}
+	for i := range list {
+		if list[i].Name == c.leaving {
+			list[i].State = platform.StateLeaving
+		}
+	}
 	body, err := json.Marshal(list)
 	Expect(err).NotTo(HaveOccurred())
 	Eventually(func() error { return put("http://"+c.platform+"/instances", string(body)) }, patience).Should(Succeed())
--- a/internal/system/system_test.go
+++ b/internal/system/system_test.go
@@ -171,6 +171,19 @@
 		}, patience).Should(Succeed())
 	})
 
+	It("give nothing to an instance that the platform lists as leaving", func() {
+		n := c.nodes[2]
+		expectAllWhole(under(func() {
+			c.leaving = "sidecar-" + n.name
+			c.publishInstances()
+			listed := time.Now()
+			time.Sleep(promptly)
+			Expect(n.record().LastStart).To(BeTemporally("<", listed.Add(promptly)))
+			c.leaving = ""
+			c.publishInstances()
+		}))
+	})
+
 	It("give nothing to an endpoint that is leaving", func() {
 		n := c.nodes[1]
 		expectAllWhole(under(func() {
--- a/pkg/bundle/parse.go
+++ b/pkg/bundle/parse.go
@@ -2,23 +2,16 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"strings"
 
-	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
+
+	"github.com/cicadareel/cicadareel/internal/stricttoml"
 )
 
 // Problem is one error in a bundle.
-type Problem struct {
-	// Line is counted from 1; 0 if the problem has no single place.
-	Line int
-	// Key is the dotted path of the offending key.
-	Key string
-	// Text says what is wrong and what is expected.
-	Text string
-}
+type Problem = stricttoml.Problem
 
 // InvalidError reports every problem of a bundle that was refused.
 type InvalidError struct{ Problems []Problem }
@@ -36,10 +29,8 @@
 // *InvalidError with every problem found.
 func Parse(content []byte) (*Bundle, error) {
 	b := &Bundle{}
-	d := toml.NewDecoder(strings.NewReader(string(content)))
-	d.DisallowUnknownFields()
-	if err := d.Decode(b); err != nil {
-		return nil, &InvalidError{Problems: decodeProblems(err)}
+	if problems := stricttoml.Decode(content, b); len(problems) > 0 {
+		return nil, &InvalidError{Problems: problems}
 	}
 	if problems := findProblems(b, nil); len(problems) > 0 {
 		return nil, &InvalidError{Problems: findProblems(b, keyLines(content))}
@@ -55,27 +46,6 @@
 	return c.problems
 }
 
-func decodeProblems(err error) []Problem {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) {
-		problems := make([]Problem, 0, len(strict.Errors))
-		for i := range strict.Errors {
-			problems = append(problems, decodeProblem(&strict.Errors[i], "unknown key"))
-		}
-		return problems
-	}
-	var decode *toml.DecodeError
-	if errors.As(err, &decode) {
-		return []Problem{decodeProblem(decode, decode.Error())}
-	}
-	return []Problem{{Text: err.Error()}}
-}
-
-func decodeProblem(e *toml.DecodeError, text string) Problem {
-	line, _ := e.Position()
-	return Problem{Line: line, Key: strings.Join(e.Key(), "."), Text: text}
-}
-
 // keyLines maps each key path, with array indices as in "groups[2].name", to
 // its line in the content. It returns what it found if the content is broken.
 func keyLines(content []byte) map[string]int {
