Choose between own and other failure domains by load

Cause: a test of the choice, written against its intent, found that a third of the plain requests still went to the own failure domain when it was three times more loaded: the second draw was from all members, the own ones included. Change: the better of two own members against the better of two others; the mean for bounded affinity is taken from 8 draws instead of 4.

--- a/internal/request/choice/table.go
+++ b/internal/request/choice/table.go
@@ -16,7 +16,7 @@
 	// affinityWalk bounds the members considered for one prefix.
 	affinityWalk = 3
 	// meanSample is the number of members whose loads estimate the mean.
-	meanSample = 4
+	meanSample = 8
 	// localBonus is the load difference up to which the own failure domain is
 	// preferred.
 	localBonus = 0.15
@@ -60,8 +60,9 @@
 // when members come or go.
 type Table struct {
 	members []*Member
-	// local are the members of the entry's own failure domain.
-	local []*Member
+	// local are the members of the entry's own failure domain, remote the
+	// others.
+	local, remote []*Member
 	// ring is sorted by hash.
 	ring []point
 }
@@ -72,6 +73,8 @@
 	for _, m := range members {
 		if m.FailureDomain == failureDomain {
 			t.local = append(t.local, m)
+		} else {
+			t.remote = append(t.remote, m)
 		}
 		for i := range ringPoints {
 			t.ring = append(t.ring, point{hash: rendezvous.Score(m.Name, strconv.Itoa(i)), member: m})
@@ -129,24 +132,25 @@
 	return sum / float64(max(1, n))
 }
 
-// balanced takes the better of two random eligible members, one of them local
-// if there is one, which wins unless it is clearly more loaded.
+// balanced takes the better of two random members of the own failure domain,
+// unless the better of two others is clearly less loaded.
 func (t *Table) balanced(q *Query) *Member {
-	a := t.draw(q, t.local)
-	b := t.draw(q, t.members)
+	local := better(t.draw(q, t.local), t.draw(q, t.local))
+	remote := better(t.draw(q, t.remote), t.draw(q, t.remote))
 	switch {
-	case a == nil && b == nil:
+	case local == nil && remote == nil:
 		return t.scan(q)
-	case a == nil:
-		return better(b, t.draw(q, t.members))
-	case b == nil || a.load() <= b.load()+localBonus:
-		return better(a, t.draw(q, t.local))
+	case remote == nil:
+		return local
+	case local == nil || local.load() > remote.load()+localBonus:
+		return remote
 	}
-	return b
+	return local
 }
 
+// better returns the less loaded member; nil counts as more loaded than any.
 func better(a, b *Member) *Member {
-	if b == nil || a.load() <= b.load() {
+	if b == nil || (a != nil && a.load() <= b.load()) {
 		return a
 	}
 	return b
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -49,8 +49,9 @@
 failureDomains = [{name="a"}]
 groups = [{name="small", kind="application", coldLimit=512, warmLimit=512, warmAfter=0, queueLimit=512},
           {name="t50", kind="model", coldLimit=512, warmLimit=512, warmAfter=0, queueLimit=512},
+          {name="paced", kind="model", coldLimit=512, warmLimit=512, warmAfter=0, queueLimit=512},
           {name="t200", kind="model", coldLimit=512, warmLimit=512, warmAfter=0, queueLimit=512}]'
-  for g in small t50 t200; do echo "[[endpoints]]
+  for g in small t50 t200 paced; do echo "[[endpoints]]
 name = \"$g\"
 group = \"$g\"
 failureDomain = \"a\"
@@ -67,10 +68,12 @@
 weight = 1"; } >"$dir/bundle.toml"
 n=4
 declare -A direct sidecar
-for g in small t50 t200; do
+for g in small t50 t200 paced; do
   at=127.0.0.1:${p[$n]} peer=127.0.0.1:${p[$((n + 1))]} ops=127.0.0.1:${p[$((n + 2))]}; n=$((n + 3))
   if [ $g = small ]; then
     start "$g" $bin/standin service --address "$at" --name "$g" --domain a --step 0 --cold-requests 0
+  elif [ $g = paced ]; then
+    start "$g" $bin/standin engine --address "$at" --name "$g" --domain a --tokens 100 --step 5ms --cold-requests 0
   else
     start "$g" $bin/standin engine --address "$at" --name "$g" --domain a --tokens "${g#t}" --step 0 --cold-requests 0
   fi
@@ -88,17 +91,17 @@
 done
 for _ in $(seq 50); do printf '[%s]' "$list" | $bin/standin call PUT "http://$platform/instances" >/dev/null 2>&1 && break; sleep 0.1; done
 start entry env GOMAXPROCS=1 $bin/cicadareel entry --settings "$dir/entry.toml"; entry=$last
-for g in small t50 t200; do start "sidecar-$g" $bin/cicadareel sidecar --settings "$dir/sidecar-$g.toml"; sidecar[$g]=$last; done
+for g in small t50 t200 paced; do start "sidecar-$g" $bin/cicadareel sidecar --settings "$dir/sidecar-$g.toml"; sidecar[$g]=$last; done
 export CICADAREEL_SETTINGS=$dir/operator.toml
 $bin/cicadareel bundle sign "$dir/bundle.toml"
 for _ in $(seq 20); do $bin/cicadareel bundle apply "$dir/bundle.toml" >/dev/null 2>&1 && break; sleep 0.5; done
-for _ in $(seq 50); do [ "$($bin/cicadareel status --json | grep -c '"open": true')" -ge 3 ] && break; sleep 0.1; done
+for _ in $(seq 50); do [ "$($bin/cicadareel status --json | grep -c '"open": true')" -ge 4 ] && break; sleep 0.1; done
 
 {
 echo "idle: processor ms and resident KB over 10 s"
 a=$($bin/measure process "$entry" "${sidecar[small]}"); sleep 10; b=$($bin/measure process "$entry" "${sidecar[small]}")
 echo "entry, sidecar before:" $a; echo "entry, sidecar after: " $b
-for g in small t50 t200; do
+for g in small t50 t200 paced; do
   for callers in 1 64; do
     echo "== $g, $callers callers"
     echo "direct:  $($bin/measure path --callers $callers --length 4s "http://${direct[$g]}/$g")"
