--- a/internal/connection/entry/run.go
+++ b/internal/connection/entry/run.go
@@ -37,6 +37,8 @@
 	expiry *time.Timer
 	// endEpoch is the epoch in which the answer ended; 0 while it has not.
 	endEpoch uint64
+	// endSize is the number of bytes buffered at the end.
+	endSize int
 }
 
 func newRun(b *wire.Begin, now time.Time) *run {
--- a/internal/connection/entry/runs.go
+++ b/internal/connection/entry/runs.go
@@ -10,6 +10,8 @@
 	keepEpochs = 3
 	// keepRuns bounds the number of ended runs that are kept.
 	keepRuns = 1024
+	// keepBytes bounds the bytes of the answers of ended runs that are kept.
+	keepBytes = 64 << 20
 )
 
 // runs holds the runs of this incarnation by request id.
@@ -18,6 +20,8 @@
 	byID map[string]*run
 	// ended lists ended runs in order of their end.
 	ended []*run
+	// endedBytes is the size of their answers at their end.
+	endedBytes int
 }
 
 func newRuns() *runs { return &runs{byID: map[string]*run{}} }
@@ -68,20 +72,27 @@
 		s.removeLocked(r)
 		return
 	}
+	r.endSize = r.answer.Size()
 	s.ended = append(s.ended, r)
-	for len(s.ended) > keepRuns {
-		s.removeLocked(s.ended[0])
-		s.ended = s.ended[1:]
+	s.endedBytes += r.endSize
+	for len(s.ended) > keepRuns || s.endedBytes > keepBytes {
+		s.dropOldest()
 	}
 }
 
+func (s *runs) dropOldest() {
+	oldest := s.ended[0]
+	s.ended = s.ended[1:]
+	s.endedBytes -= oldest.endSize
+	s.removeLocked(oldest)
+}
+
 // expire forgets runs that ended too many epochs ago.
 func (s *runs) expire(epoch uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for len(s.ended) > 0 && epoch-s.ended[0].endEpoch > keepEpochs {
-		s.removeLocked(s.ended[0])
-		s.ended = s.ended[1:]
+		s.dropOldest()
 	}
 }
 
--- /dev/null
+++ b/internal/connection/entry/runs_test.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cicadareel/cicadareel/internal/request/answer"
+	"github.com/cicadareel/cicadareel/internal/request/gate"
+)
+
+// endedRun returns a run whose unread answer has the given size.
+func endedRun(id string, size int) *run {
+	r := &run{attempt: gate.Attempt{RequestID: id}, answer: answer.NewAnswer(true), kept: true}
+	r.answer.Write(make([]byte, size))
+	r.answer.End()
+	return r
+}
+
+func TestEndedRunsAreBounded(t *testing.T) {
+	for name, size := range map[string]int{"by bytes": 128 << 10, "by number": 1} {
+		t.Run(name, func(t *testing.T) {
+			s := newRuns()
+			for i := range 3000 {
+				r := endedRun(fmt.Sprint(i), size)
+				s.put(r)
+				s.end(r, 1)
+			}
+			if len(s.byID) > keepRuns || len(s.byID)*size > keepBytes {
+				t.Fatalf("%d runs of %d bytes are kept", len(s.byID), size)
+			}
+			if s.get("2999") == nil || s.get("0") != nil {
+				t.Fatal("the oldest runs must go first")
+			}
+			s.expire(1 + keepEpochs + 1)
+			if len(s.byID) != 0 || s.endedBytes != 0 {
+				t.Fatalf("%d runs and %d bytes are left after the last epoch", len(s.byID), s.endedBytes)
+			}
+		})
+	}
+}
--- a/internal/connection/platform/intent.go
+++ b/internal/connection/platform/intent.go
@@ -13,6 +13,10 @@
 const (
 	// currentKey is the row that points to the bundle in force.
 	currentKey = "current"
+	// headKey is the row that changes with each recorded order.
+	headKey = "orders"
+	// headTries bounds the tries to change it against other writers.
+	headTries = 16
 	// orderPrefix precedes the id of an order in its row's key.
 	orderPrefix = "order/"
 )
@@ -157,10 +161,17 @@
 	return orders, nil
 }
 
-// Record writes orders that are not recorded yet. Orders never change, so a
-// row that exists already is as good as written.
+// Head returns a number that grows with each recorded order, so that readers
+// need the orders only when it changed.
+func (i *Intent) Head(ctx context.Context) (uint64, error) {
+	row, err := i.table.Get(ctx, headKey)
+	return row.Revision, err
+}
+
+// Record writes orders that are not recorded yet and then moves the head.
+// Orders never change, so a row that exists already is as good as written.
 func (i *Intent) Record(ctx context.Context, orders []order.Order) error {
-	writes := make([]Write, 0, len(orders))
+	writes := make([]Write, 0, len(orders)+1)
 	for _, o := range orders {
 		value, err := json.Marshal(o)
 		if err != nil {
@@ -168,6 +179,24 @@
 		}
 		writes = append(writes, Write{Key: orderPrefix + o.ID, Value: value})
 	}
-	_, err := i.table.Commit(ctx, writes)
-	return err
+	for range headTries {
+		head, err := i.Head(ctx)
+		if err != nil {
+			return err
+		}
+		moved := Write{Key: headKey, Value: json.RawMessage("true"), Expect: head}
+		results, err := i.table.Commit(ctx, append(writes, moved))
+		if err != nil {
+			return err
+		}
+		if results[len(results)-1].Applied {
+			return nil
+		}
+	}
+	return &UnavailableError{Call: "record", Cause: &ContendedError{}}
 }
+
+// ContendedError reports a row that other writers kept changing.
+type ContendedError struct{}
+
+func (*ContendedError) Error() string { return "other writers kept changing the row" }
--- a/internal/connection/platform/members.go
+++ b/internal/connection/platform/members.go
@@ -8,8 +8,13 @@
 	"time"
 )
 
-// membersInterval is the time between two reads of the instance list.
-const membersInterval = time.Second
+const (
+	// membersInterval is the shortest time between two reads of the instance
+	// list by one process.
+	membersInterval = time.Second
+	// listBudget bounds the reads of the list per second of all processes.
+	listBudget = 400
+)
 
 // Members keeps the last instance list that was read, merged with seeds while
 // none was read yet.
@@ -38,8 +43,6 @@
 func (m *Members) Wait() { m.done.Wait() }
 
 func (m *Members) readLoop(ctx context.Context, source Instances) {
-	ticker := time.NewTicker(membersInterval)
-	defer ticker.Stop()
 	for {
 		if list, err := source.List(ctx); err == nil {
 			m.Replace(list)
@@ -47,7 +50,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(max(membersInterval, time.Duration(len(m.List()))*time.Second/listBudget)):
 		}
 	}
 }
--- a/internal/connection/platform/platform.go
+++ b/internal/connection/platform/platform.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"sync"
 	"time"
 
 	"github.com/samber/oops"
@@ -104,6 +105,12 @@
 	objects   netip.AddrPort
 	instances netip.AddrPort
 	http      *http.Client
+
+	// mu is held while the instance list is read.
+	mu sync.Mutex
+	// list is the last instance list read, listTag its entity tag.
+	list    []Instance
+	listTag string
 }
 
 // NewClient returns a client of the services at the given addresses.
@@ -151,11 +158,36 @@
 	return content, err
 }
 
-// List reads the instance list.
+// List reads the instance list. It is sent only if it changed since the last
+// reading (an HTTP conditional request).
 func (c *Client) List(ctx context.Context) ([]Instance, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.instances.String()+"/instances", http.NoBody)
+	if err != nil {
+		return nil, &UnavailableError{Call: "list", Cause: err}
+	}
+	if c.listTag != "" {
+		req.Header.Set("If-None-Match", c.listTag)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, &UnavailableError{Call: "list", Cause: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch resp.StatusCode {
+	case http.StatusNotModified:
+		return c.list, nil
+	case http.StatusOK:
+	default:
+		return nil, &UnavailableError{Call: "list", Cause: &StatusError{Status: resp.StatusCode}}
+	}
 	var list []Instance
-	err := c.call(ctx, http.MethodGet, c.instances, "/instances", nil, &list)
-	return list, err
+	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+		return nil, &UnavailableError{Call: "list", Cause: err}
+	}
+	c.list, c.listTag = list, resp.Header.Get("ETag")
+	return list, nil
 }
 
 // call sends one request. A *[]byte result receives the raw body, any other
--- a/internal/connection/platform/poller.go
+++ b/internal/connection/platform/poller.go
@@ -16,6 +16,8 @@
 	pollInterval = 500 * time.Millisecond
 	// readBudget bounds the table reads per second of all processes together.
 	readBudget = 400
+	// scanInterval is the longest time between two readings of all orders.
+	scanInterval = 5 * time.Minute
 	// readsPerPoll is the number of table reads of one poll.
 	readsPerPoll = 2
 )
@@ -29,7 +31,12 @@
 	log     *events.Log
 	// reachable tells whether the last poll succeeded.
 	reachable atomic.Bool
-	done      sync.WaitGroup
+	// head and scanned are of the last reading of all orders, recorded holds
+	// their ids; used by the polling goroutine only.
+	head     uint64
+	scanned  time.Time
+	recorded map[string]bool
+	done     sync.WaitGroup
 }
 
 // NewPoller starts polling until ctx ends.
@@ -80,15 +87,37 @@
 }
 
 func (p *Poller) poll(ctx context.Context) error {
-	recorded, err := p.intent.Orders(ctx)
-	if err != nil {
+	if err := p.pollOrders(ctx); err != nil {
 		return err
 	}
-	p.adoptOrders(recorded)
 	if err := p.pollBundle(ctx); err != nil {
 		return err
 	}
-	return p.recordMissing(ctx, recorded)
+	return p.recordMissing(ctx)
+}
+
+// pollOrders reads the orders if the head moved, and now and then without: a
+// writer may have died between an order and the head.
+func (p *Poller) pollOrders(ctx context.Context) error {
+	head, err := p.intent.Head(ctx)
+	if err != nil {
+		return err
+	}
+	if head == p.head && p.recorded != nil && time.Since(p.scanned) < scanInterval {
+		return nil
+	}
+	started := time.Now()
+	orders, err := p.intent.Orders(ctx)
+	if err != nil {
+		return err
+	}
+	p.adoptOrders(orders)
+	p.recorded = make(map[string]bool, len(orders))
+	for _, o := range orders {
+		p.recorded[o.ID] = true
+	}
+	p.head, p.scanned = head, started
+	return nil
 }
 
 func (p *Poller) pollBundle(ctx context.Context) error {
@@ -124,14 +153,10 @@
 }
 
 // recordMissing writes down orders that were given while the table was down.
-func (p *Poller) recordMissing(ctx context.Context, recorded []order.Order) error {
-	known := make(map[string]bool, len(recorded))
-	for _, o := range recorded {
-		known[o.ID] = true
-	}
+func (p *Poller) recordMissing(ctx context.Context) error {
 	missing := []order.Order{}
 	for _, o := range p.view.Orders() {
-		if !known[o.ID] {
+		if !p.recorded[o.ID] {
 			missing = append(missing, o)
 		}
 	}
--- a/internal/measure/network.go
+++ b/internal/measure/network.go
@@ -79,25 +79,23 @@
 func (silentObserver) GateChanged(sidecar.Gate) {}
 func (silentObserver) LinkDown()                {}
 
-// Links measures what idle links cost: bytes a second, processor time and
-// memory, both ends together.
+// Links measures what idle links to one sidecar cost: bytes a second, processor
+// time and memory, both ends together.
 func Links() []Series {
 	const watch = 10 * time.Second
-	bytes := Series{Name: "idle links: traffic", Unit: "B/s", SizeUnit: "links", Target: 48}
-	work := Series{Name: "idle links: processor time, both ends", Unit: "ms/s", SizeUnit: "links", Target: 48}
-	memory := Series{Name: "idle links: memory, both ends", Unit: "KB", SizeUnit: "links", Target: 48}
+	bytes := Series{Name: "idle links: traffic", Unit: "B/s", SizeUnit: "links", Target: 200}
+	work := Series{Name: "idle links: processor time, both ends", Unit: "ms/s", SizeUnit: "links", Target: 200}
+	memory := Series{Name: "idle links: memory, both ends", Unit: "KB", SizeUnit: "links", Target: 200}
 	m, _ := metrics.NewMetrics()
 	log := events.NewLog("panic", "measure")
-	for _, n := range []int{8, 24, 48} {
+	for _, n := range []int{10, 50, 200} {
 		before := heap()
 		ctx, stop := context.WithCancel(context.Background())
 		c := &counter{}
-		links, servers := []*sidecar.Link{}, []*grpc.Server{}
-		for i := range n {
-			name := fmt.Sprint("endpoint-", i)
-			server, at := startSidecar(ctx, name, log, m)
-			servers = append(servers, server)
-			links = append(links, sidecar.NewLink(name, "entry", at, c.dialer(), silentObserver{}, log, m))
+		links := []*sidecar.Link{}
+		server, at := startSidecar(ctx, "endpoint", log, m)
+		for range n {
+			links = append(links, sidecar.NewLink("endpoint", "entry", at, c.dialer(), silentObserver{}, log, m))
 		}
 		time.Sleep(time.Second)
 		memory.Points = append(memory.Points, Point{float64(n), float64(heap()-before) / 1024})
@@ -108,9 +106,7 @@
 		for _, l := range links {
 			l.Close()
 		}
-		for _, s := range servers {
-			s.Stop()
-		}
+		server.Stop()
 		stop()
 	}
 	return []Series{bytes, work, memory}
--- a/internal/measure/policies_test.go
+++ b/internal/measure/policies_test.go
@@ -3,6 +3,7 @@
 package measure
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"sort"
@@ -31,6 +32,9 @@
 	settling = 6 * time.Second
 )
 
+// lag is the age of what an entry knows of a server that it sends nothing.
+var lag = flag.Duration("lag", 2*time.Second, "time between two reports to an entry at rest")
+
 // server is an endpoint that slows down when it is given more than it bears.
 type server struct {
 	name, domain string
@@ -147,7 +151,7 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(400 * time.Millisecond):
+		case <-time.After(*lag):
 			for i, m := range d.members {
 				d.servers[i].gate.Tick()
 				d.observe(m, d.servers[i])
--- a/internal/request/answer/answer.go
+++ b/internal/request/answer/answer.go
@@ -193,6 +193,13 @@
 	return a.base
 }
 
+// Size returns the number of bytes that the answer holds.
+func (a *Answer) Size() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.buffer)
+}
+
 // Drained reports whether the answer is whole and acknowledged to its end.
 func (a *Answer) Drained() bool {
 	a.mu.Lock()
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/cicadareel/cicadareel/internal/connection/platform"
 )
@@ -45,6 +47,12 @@
 	})
 	mux.HandleFunc("GET /instances", func(w http.ResponseWriter, r *http.Request) {
 		list, err := t.List(r.Context())
+		tag := fmt.Sprintf("%q", strconv.Itoa(t.listVersion()))
+		w.Header().Set("ETag", tag)
+		if err == nil && r.Header.Get("If-None-Match") == tag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
 		reply(w, list, err)
 	})
 	mux.HandleFunc("PUT /instances", func(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -31,6 +31,7 @@
 	rows      map[string]platform.Row
 	objects   map[string][]byte
 	instances []platform.Instance
+	lists     int
 	faults    Faults
 	reads     int
 	writes    int
@@ -176,4 +177,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.instances = list
+	t.lists++
+}
+
+// listVersion counts the changes of the instance list.
+func (t *Table) listVersion() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lists
 }
