--- a/internal/cli/bundle.go
+++ b/internal/cli/bundle.go
@@ -9,7 +9,6 @@
 	"github.com/samber/oops"
 	"github.com/urfave/cli/v3"
 
-	"github.com/cicadareel/cicadareel/internal/connection/platform"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
 	"github.com/cicadareel/cicadareel/pkg/bundle"
 )
@@ -181,7 +180,7 @@
 		return err
 	}
 	if s == nil {
-		return &platform.ConflictError{}
+		return &UsageError{Problem: "no bundle has been accepted yet"}
 	}
 	if err := k.intent.Content(ctx, s, nil); err != nil {
 		return err
--- a/internal/connection/caller/service.go
+++ b/internal/connection/caller/service.go
@@ -86,26 +86,26 @@
 	}
 	w.Header().Set(RequestIDHeader, q.id)
 	s.budget.Earn()
-	j := newJourney(s, q, newDelivery(w))
-	s.conclude(w, j, j.run(r.Context()))
+	d := newDispatch(s, q, newDelivery(w))
+	s.conclude(w, d, d.run(r.Context()))
 }
 
 // conclude tells the caller the outcome. An answer that has begun and cannot
 // be completed is aborted visibly.
-func (s *Service) conclude(w http.ResponseWriter, j *journey, o outcome.Outcome) {
+func (s *Service) conclude(w http.ResponseWriter, d *dispatch, o outcome.Outcome) {
 	if _, ok := o.(outcome.Answered); ok {
 		s.metrics.Answered()
 		return
 	}
-	if j.delivery.headSent {
+	if d.delivery.headSent {
 		s.count(o)
-		s.log.Info(events.RequestCut, events.Fields{"request": j.request.id})
+		s.log.Info(events.RequestCut, events.Fields{"request": d.request.id})
 		panic(http.ErrAbortHandler)
 	}
 	if _, ok := o.(outcome.Unknown); ok {
-		s.log.Info(events.RequestUnknown, events.Fields{"request": j.request.id})
+		s.log.Info(events.RequestUnknown, events.Fields{"request": d.request.id})
 	}
-	s.refuse(w, o, "", j.request.id)
+	s.refuse(w, o, "", d.request.id)
 }
 
 func (s *Service) refuse(w http.ResponseWriter, o outcome.Outcome, detail, requestID string) {
--- a/internal/connection/platform/intent.go
+++ b/internal/connection/platform/intent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 
 	"github.com/samber/oops"
 
@@ -28,7 +29,7 @@
 }
 
 func (e *ConflictError) Error() string {
-	return oops.Errorf("version %d is in force already; base the change on it", e.Version).Error()
+	return fmt.Sprintf("version %d is in force; apply exactly the next one, based on it", e.Version)
 }
 
 // Intent reads and writes the operators' intent in the platform's services.
