Name the request that a repeat follows, and take test ports out of the kernel's range

Cause: trying the system by hand from the README showed that a repeat of a key answered with another request id than the original, that a refused order read 'order: order:', and that JSON had null for an empty list; and ports for tests came from the range of outgoing connections, so that one could be taken before its process listens. Figures: the spec of a repeat fails without the change and passes with it.

--- a/cmd/standin/tools.go
+++ b/cmd/standin/tools.go
@@ -5,12 +5,13 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/cicadareel/cicadareel/internal/standin"
 )
 
 // portsCommand prints loopback ports that are free at the moment.
@@ -24,13 +25,8 @@
 			if err != nil {
 				return err
 			}
-			for range count {
-				l, err := net.Listen("tcp", "127.0.0.1:0")
-				if err != nil {
-					return err
-				}
-				defer func() { _ = l.Close() }()
-				fmt.Println(l.Addr().(*net.TCPAddr).Port)
+			for _, port := range standin.FreePorts(count) {
+				fmt.Println(port)
 			}
 			return nil
 		},
--- a/internal/cli/order.go
+++ b/internal/cli/order.go
@@ -83,7 +83,7 @@
 		Target:      o.Target,
 		Releases:    o.Releases,
 		InForce:     reply.GetInForce(),
-		Unreachable: reply.GetUnreachable(),
+		Unreachable: append([]string{}, reply.GetUnreachable()...),
 		Recorded:    recorded,
 	})
 }
@@ -92,7 +92,7 @@
 func asRefusal(err error) error {
 	var unreachable *UnreachableError
 	if errors.As(err, &unreachable) && status.Code(unreachable.Cause) == codes.InvalidArgument {
-		return &order.InvalidError{Problem: status.Convert(unreachable.Cause).Message()}
+		return &UsageError{Problem: status.Convert(unreachable.Cause).Message()}
 	}
 	return nil
 }
--- a/internal/connection/caller/claiming.go
+++ b/internal/connection/caller/claiming.go
@@ -47,6 +47,7 @@
 // follow gives the caller the outcome of the attempt that holds the claim.
 func (d *dispatch) follow(ctx context.Context, c claim.Claim) next {
 	d.request.id = c.RequestID
+	d.delivery.w.Header().Set(RequestIDHeader, c.RequestID)
 	d.attempt = c.Attempt
 	for look := 0; ctx.Err() == nil; look++ {
 		target, ok := d.service.fleet.Find(c.Endpoint)
--- a/internal/proof/path_test.go
+++ b/internal/proof/path_test.go
@@ -62,8 +62,10 @@
 			time.Sleep(time.Second)
 			first := r.doors[0].start("/book", "same", "k")
 			time.Sleep(step / 2)
-			expectWholeEntry(second.exchange("/book", "same", "k"), "same")
-			expectWholeEntry(<-first, "same")
+			repeat, original := second.exchange("/book", "same", "k"), <-first
+			expectWholeEntry(repeat, "same")
+			expectWholeEntry(original, "same")
+			Expect(repeat.requestID).To(Equal(original.requestID))
 			expectRefused(second.exchange("/book", "other", "k"), "notRun")
 			Expect(r.totalRuns()).To(Equal(1))
 		})
--- a/internal/proof/rig_test.go
+++ b/internal/proof/rig_test.go
@@ -324,6 +324,8 @@
 	reason  string
 	aborted bool
 	took    time.Duration
+	// requestID is what the answer's header says.
+	requestID string
 }
 
 // exchange sends one request through a door and waits for its end.
@@ -350,7 +352,7 @@
 }
 
 func readAnswer(w *httptest.ResponseRecorder, aborted bool, took time.Duration) answer {
-	a := answer{status: w.Code, body: w.Body.String(), aborted: aborted, took: took}
+	a := answer{status: w.Code, body: w.Body.String(), aborted: aborted, took: took, requestID: w.Header().Get(caller.RequestIDHeader)}
 	if !aborted && w.Header().Get("Content-Type") == "application/problem+json" {
 		p := caller.Problem{}
 		Expect(decodeJSON(w.Body.Bytes(), &p)).To(Succeed())
--- a/internal/system/cluster_test.go
+++ b/internal/system/cluster_test.go
@@ -7,7 +7,6 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -89,11 +88,7 @@
 }
 
 func freeAddress() string {
-	GinkgoHelper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return fmt.Sprintf("127.0.0.1:%d", standin.FreePorts(1)[0])
 }
 
 func (c *cluster) run(name string, args ...string) *child {
