Keep lagging load reports from taking room away, and split the processes' start and end

Change: that work is known from the first report and only shrinks, by the lowest own count within the lag; the engines of the demo and of the real-process tests report with 0.5 s of lag. The Run functions of entry and sidecar are split into start and shutDown. Conclusion: the start of a sidecar beside a running endpoint is conservative by up to two lags.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -89,10 +89,13 @@
 		Usage: "model engine",
 		Flags: append(endpointFlags(),
 			&cli.IntFlag{Name: "experts", Usage: "experts of each layer; 0 for none"},
+			&cli.DurationFlag{Name: "load-lag", Usage: "how old a load report may be"},
 			&cli.IntFlag{Name: "layers", Value: 2},
 			&cli.BoolFlag{Name: "fenced", Usage: "refuse orders with an old fencing number"}),
 		Action: func(ctx context.Context, c *cli.Command) error {
-			e := standin.NewEngine(endpointConfig(c))
+			config := endpointConfig(c)
+			config.LoadLag = c.Duration("load-lag")
+			e := standin.NewEngine(config)
 			if c.Int("experts") > 0 {
 				e.Ranks = standin.NewMapRank(c.Int("layers"), c.Int("experts"), c.Bool("fenced"))
 			}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -34,51 +34,83 @@
 	headerTimeout = 10 * time.Second
 )
 
+// entry holds the parts of the process from its start to its end.
+type entry struct {
+	settings *settings.Settings
+	common   *process.Common
+	fleet    *fleet
+	claims   *claim.Store
+	callers  *http.Server
+	ops      *operator.Server
+	// leaving is true from the start of the graceful shutdown.
+	leaving atomic.Bool
+	// stop ends the duties, which loops waits for.
+	stop  context.CancelFunc
+	loops sync.WaitGroup
+}
+
 // Run serves until ctx ends, then shuts down without cutting a request.
 func Run(ctx context.Context, s *settings.Settings) error {
 	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	c, err := process.NewCommon(duties, s)
-	if err != nil {
+	e := &entry{settings: s, stop: stop}
+	if err := e.start(duties); err != nil {
 		return err
 	}
-	f := newFleet(s, c.Dialer, c.View, c.Members, c.Log, c.Metrics)
-	claims := claim.NewStore(duties, c.Platform)
-	service := caller.NewService(c.View.Bundle, f, claims, c.Log, c.Metrics)
-	var leaving atomic.Bool
-	ready := func() bool { return !leaving.Load() && c.View.Bundle() != nil }
-	ops, err := operator.NewServer(s.OperatorAddress, c.Metrics, ready)
+	e.common.Log.Info(events.ProcessStarted, events.Fields{"callers": s.CallerAddress.String(), "incarnation": e.common.Incarnation})
+	<-ctx.Done()
+	return e.shutDown()
+}
+
+func (e *entry) start(duties context.Context) error {
+	c, err := process.NewCommon(duties, e.settings)
 	if err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", s.CallerAddress.String())
-	if err != nil {
-		return oops.In("entry").Wrap(err)
+	e.common = c
+	e.fleet = newFleet(e.settings, c.Dialer, c.View, c.Members, c.Log, c.Metrics)
+	e.claims = claim.NewStore(duties, c.Platform)
+	if e.ops, err = operator.NewServer(e.settings.OperatorAddress, c.Metrics, e.ready); err != nil {
+		return err
 	}
 	if err := c.Serve(func(*wire.ProcessStatus) {}); err != nil {
 		return err
 	}
-	var loops sync.WaitGroup
-	loops.Go(func() { refreshLoop(duties, c, f) })
-	server := &http.Server{Handler: service, ReadHeaderTimeout: headerTimeout}
-	go func() { _ = server.Serve(listener) }()
-	c.Log.Info(events.ProcessStarted, events.Fields{"callers": s.CallerAddress.String(), "incarnation": c.Incarnation})
+	e.loops.Go(func() { refreshLoop(duties, c, e.fleet) })
+	return e.serveCallers()
+}
 
-	<-ctx.Done()
-	c.Log.Info(events.ProcessStopping, nil)
-	leaving.Store(true)
-	server.SetKeepAlivesEnabled(false)
+func (e *entry) serveCallers() error {
+	listener, err := net.Listen("tcp", e.settings.CallerAddress.String())
+	if err != nil {
+		return oops.In("entry").Wrap(err)
+	}
+	c := e.common
+	service := caller.NewService(c.View.Bundle, e.fleet, e.claims, c.Log, c.Metrics)
+	e.callers = &http.Server{Handler: service, ReadHeaderTimeout: headerTimeout}
+	go func() { _ = e.callers.Serve(listener) }()
+	return nil
+}
+
+// ready tells the platform's balancer whether to send callers here.
+func (e *entry) ready() bool { return !e.leaving.Load() && e.common.View.Bundle() != nil }
+
+// shutDown finishes the requests in progress and then ends the duties.
+func (e *entry) shutDown() error {
+	e.common.Log.Info(events.ProcessStopping, nil)
+	e.leaving.Store(true)
+	e.callers.SetKeepAlivesEnabled(false)
 	time.Sleep(lameDuck)
-	bounded, cancel := context.WithTimeout(duties, shutdownLimit)
+	bounded, cancel := context.WithTimeout(context.Background(), shutdownLimit)
 	defer cancel()
-	err = server.Shutdown(bounded)
-	stop()
-	loops.Wait()
-	claims.Wait()
-	f.close()
-	c.Close(streamGrace)
-	ops.Close(context.Background())
-	c.Log.Info(events.ProcessStopped, nil)
+	err := e.callers.Shutdown(bounded)
+	e.stop()
+	e.loops.Wait()
+	e.claims.Wait()
+	e.fleet.close()
+	e.common.Close(streamGrace)
+	e.ops.Close(context.Background())
+	e.common.Log.Info(events.ProcessStopped, nil)
 	return oops.In("entry").Wrap(err)
 }
 
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -29,14 +29,21 @@
 	streamGrace = time.Second
 )
 
-// sidecar holds the parts of the process that the barrier looks at.
+// sidecar holds the parts of the process from its start to its end.
 type sidecar struct {
-	common *process.Common
-	gate   *gate.Gate
+	common  *process.Common
+	gate    *gate.Gate
+	client  *endpoint.Client
+	monitor *endpoint.Monitor
+	server  *entry.Server
+	ops     *operator.Server
 	// stopping is true from the start of the graceful shutdown, leaving while
 	// the endpoint says that it shuts down.
 	stopping atomic.Bool
 	leaving  atomic.Bool
+	// stop ends the duties, which loops waits for.
+	stop  context.CancelFunc
+	loops sync.WaitGroup
 }
 
 // Run serves until ctx ends, then shuts down without cutting a request.
@@ -47,41 +54,56 @@
 	if err != nil {
 		return err
 	}
-	p := &sidecar{common: c}
-	p.gate = gate.NewGate(c.Incarnation, gate.Config{ColdLimit: 1, WarmLimit: 1}, p.barrier)
-	client := endpoint.NewClient(s.EndpointAddress)
-	monitor := endpoint.NewMonitor(duties, client, p.gate, p.kind, p.leaving.Store, c.Log)
-	server := entry.NewServer(duties, s.Endpoint, c.Incarnation, p.gate, client, c.Log, c.Metrics)
-	wire.RegisterSidecarServer(c.Server, server)
-	engine := endpoint.NewMapEngine(client)
-	wire.RegisterGroupServer(c.Server, rank.NewServer(expertmap.NewRank(engine, c.Incarnation), engine))
-	ops, err := operator.NewServer(s.OperatorAddress, c.Metrics, func() bool { return p.gate.State().Open })
-	if err != nil {
+	p := &sidecar{common: c, stop: stop}
+	if err := p.start(duties); err != nil {
 		return err
 	}
+	c.Log.Info(events.ProcessStarted, events.Fields{"endpoint": s.Endpoint, "incarnation": c.Incarnation})
+	<-ctx.Done()
+	p.shutDown()
+	return nil
+}
+
+func (p *sidecar) start(duties context.Context) error {
+	c, s := p.common, p.common.Settings
+	p.gate = gate.NewGate(c.Incarnation, gate.Config{ColdLimit: 1, WarmLimit: 1}, p.barrier)
+	p.client = endpoint.NewClient(s.EndpointAddress)
+	p.monitor = endpoint.NewMonitor(duties, p.client, p.gate, p.kind, p.leaving.Store, c.Log)
+	p.server = entry.NewServer(duties, s.Endpoint, c.Incarnation, p.gate, p.client, c.Log, c.Metrics)
+	wire.RegisterSidecarServer(c.Server, p.server)
+	p.startExperts(duties)
+	p.loops.Go(func() { p.configureLoop(duties) })
 	p.registerGauges()
-	if err := c.Serve(func(out *wire.ProcessStatus) { out.Gate = entry.GateToWire(p.gate.State()) }); err != nil {
+	var err error
+	if p.ops, err = operator.NewServer(s.OperatorAddress, c.Metrics, func() bool { return p.gate.State().Open }); err != nil {
 		return err
 	}
-	var loops sync.WaitGroup
-	loops.Go(func() { p.configureLoop(duties) })
-	loops.Go(func() { newExperts(p, engine).loop(duties) })
-	c.Log.Info(events.ProcessStarted, events.Fields{"endpoint": s.Endpoint, "incarnation": c.Incarnation})
+	return c.Serve(func(out *wire.ProcessStatus) { out.Gate = entry.GateToWire(p.gate.State()) })
+}
 
-	<-ctx.Done()
-	c.Log.Info(events.ProcessStopping, nil)
+// startExperts takes part in expert map switches and, where the role is this
+// sidecar's, coordinates them.
+func (p *sidecar) startExperts(duties context.Context) {
+	engine := endpoint.NewMapEngine(p.client)
+	member := expertmap.NewRank(engine, p.common.Incarnation)
+	wire.RegisterGroupServer(p.common.Server, rank.NewServer(member, engine))
+	p.loops.Go(func() { newExperts(p, engine).loop(duties) })
+}
+
+// shutDown finishes what runs and then ends the duties.
+func (p *sidecar) shutDown() {
+	p.common.Log.Info(events.ProcessStopping, nil)
 	p.stopping.Store(true)
-	bounded, cancel := context.WithTimeout(duties, shutdownLimit)
+	bounded, cancel := context.WithTimeout(context.Background(), shutdownLimit)
 	defer cancel()
-	server.Drain(bounded)
-	stop()
-	c.Close(streamGrace)
-	server.Wait()
-	loops.Wait()
-	monitor.Wait()
-	ops.Close(context.Background())
-	c.Log.Info(events.ProcessStopped, nil)
-	return nil
+	p.server.Drain(bounded)
+	p.stop()
+	p.common.Close(streamGrace)
+	p.server.Wait()
+	p.loops.Wait()
+	p.monitor.Wait()
+	p.ops.Close(context.Background())
+	p.common.Log.Info(events.ProcessStopped, nil)
 }
 
 // barrier implements gate.Barrier.
--- a/internal/request/gate/gate.go
+++ b/internal/request/gate/gate.go
@@ -84,7 +84,9 @@
 	ledger   ledger
 	inFlight int
 	// foreign is work at the endpoint that an earlier incarnation admitted.
-	foreign int
+	foreign foreignWork
+	// known is true from the first load report on.
+	known bool
 	// reported is false until the first load report of this incarnation.
 	reported bool
 	barrier  Barrier
@@ -155,9 +157,10 @@
 	return Queued{}
 }
 
-func (g *Gate) free() bool { return g.inFlight+g.foreign < g.limiter.current() }
+func (g *Gate) free() bool { return g.inFlight+g.foreign.count < g.limiter.current() }
 
 func (g *Gate) admit(a Attempt) {
+	g.foreign.observe(g.inFlight)
 	g.inFlight++
 	g.ledger.noteAdmitted(a)
 }
@@ -188,6 +191,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.inFlight--
+	g.foreign.observe(g.inFlight)
 	g.ledger.noteFinished(a, c.NeverSent)
 	if c.Healthy {
 		g.service = smooth(g.service, c.Total)
@@ -232,7 +236,15 @@
 		g.limiter.fallCold()
 	}
 	g.reported = true
-	g.foreign = max(0, running-g.inFlight)
+	switch {
+	case !g.known:
+		g.foreign.first(running)
+		g.known = true
+	case restarted:
+		g.foreign.first(0)
+	default:
+		g.foreign.report(running, g.inFlight)
+	}
 	g.release(&calls)
 }
 
@@ -310,7 +322,7 @@
 	defer g.mu.Unlock()
 	return State{
 		Limit:    g.limiter.current(),
-		InFlight: g.inFlight + g.foreign,
+		InFlight: g.inFlight + g.foreign.count,
 		Queued:   g.queue.len(),
 		Warm:     g.limiter.warmed(),
 		Open:     g.closed == "" && g.reported,
--- a/internal/request/gate/gate_test.go
+++ b/internal/request/gate/gate_test.go
@@ -79,6 +79,35 @@
 		Expect(g.State().InFlight).To(Equal(2))
 	})
 
+	It("takes no room away for what a lagging report still counts of its own work", func() {
+		bubble(func() {
+			g := openGate(config)
+			first, second := attempt(1, 1), attempt(2, 1)
+			g.Offer(first, ignore)
+			g.Offer(second, ignore)
+			finish(g, first)
+			finish(g, second)
+			g.Report(false, 2)
+			Expect(g.State().InFlight).To(BeZero())
+		})
+	})
+
+	It("does not take an earlier sidecar's work for its own when reports lag", func() {
+		bubble(func() {
+			g := gate.NewGate("i", gate.Config{ColdLimit: 4, WarmLimit: 4, QueueLimit: 4}, func() (outcome.Reason, bool) { return "", false })
+			g.Report(true, 2)
+			g.Offer(attempt(1, 1), ignore)
+			g.Offer(attempt(2, 1), ignore)
+			g.Report(false, 2)
+			Expect(g.State().InFlight).To(Equal(4), "the report may be older than both")
+			time.Sleep(10 * time.Second)
+			g.Report(false, 2)
+			time.Sleep(10 * time.Second)
+			g.Report(false, 2)
+			Expect(g.State().InFlight).To(Equal(2))
+		})
+	})
+
 	It("grows only with healthy answers and falls back at once", func() {
 		g := openGate(config)
 		for i := range 40 {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -33,6 +33,8 @@
 	// ColdRequests is the number of requests until the endpoint is warm, and
 	// ColdFactor slows it down until then.
 	ColdRequests, ColdFactor int
+	// LoadLag is how old a load report may be.
+	LoadLag time.Duration
 }
 
 // Engine is a stand-in model engine: its answer is a stream of events that
@@ -64,7 +66,7 @@
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) {
-		reply(w, e.recorder.load(e.boot, e.leaving.Load()), nil)
+		reply(w, e.recorder.load(e.boot, e.leaving.Load(), e.config.LoadLag), nil)
 	})
 	mux.HandleFunc("GET /record", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.Record(), nil) })
 	mux.HandleFunc("POST /cold", func(http.ResponseWriter, *http.Request) { e.TurnCold() })
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -33,6 +33,9 @@
 	mu      sync.Mutex
 	record  Record
 	running int
+	// reported is the last load report, made at reportedAt.
+	reported   endpoint.Load
+	reportedAt time.Time
 	// cold requests are left until the endpoint is warm.
 	cold int
 }
@@ -82,8 +85,13 @@
 	return copied
 }
 
-func (r *recorder) load(boot string, leaving bool) endpoint.Load {
+// load returns a load report that is at most lag old.
+func (r *recorder) load(boot string, leaving bool, lag time.Duration) endpoint.Load {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return endpoint.Load{Boot: boot, Running: r.running, Leaving: leaving}
+	if time.Since(r.reportedAt) >= lag {
+		r.reported = endpoint.Load{Boot: boot, Running: r.running, Leaving: leaving}
+		r.reportedAt = time.Now()
+	}
+	return r.reported
 }
--- a/internal/system/cluster_test.go
+++ b/internal/system/cluster_test.go
@@ -168,7 +168,7 @@
 	if kind != "engine" {
 		return nil
 	}
-	return []string{"--experts", "16", "--layers", "2"}
+	return []string{"--experts", "16", "--layers", "2", "--load-lag", "500ms"}
 }
 
 func (c *cluster) publishInstances() {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -78,8 +78,8 @@
 for i in "${!names[@]}"; do
   name=${names[$i]}; domain=${domains[$i]}
   take; at=$port; take; peer=$port; take; ops=$port
-  kind=engine; [[ $name == bookings-* ]] && kind=service
-  start "$name" $bin/standin $kind --address "127.0.0.1:$at" --name "$name" --domain "$domain"
+  kind=(engine --load-lag 500ms); [[ $name == bookings-* ]] && kind=(service)
+  start "$name" $bin/standin "${kind[@]}" --address "127.0.0.1:$at" --name "$name" --domain "$domain"
   endpoint_addresses+=("127.0.0.1:$at")
   f=$dir/sidecar-$name.toml
   common "$f" sidecar "sidecar-$name"
