--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -16,7 +16,7 @@
 	"github.com/cicadareel/cicadareel/internal/connection/peer"
 	"github.com/cicadareel/cicadareel/internal/connection/platform"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
-	"github.com/cicadareel/cicadareel/internal/process/identity"
+	"github.com/cicadareel/cicadareel/internal/identity"
 	"github.com/cicadareel/cicadareel/internal/process/settings"
 )
 
--- a/internal/cli/doc_test.go
+++ b/internal/cli/doc_test.go
@@ -9,9 +9,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/cicadareel/cicadareel/internal/process/events"
+	"github.com/cicadareel/cicadareel/internal/events"
+	"github.com/cicadareel/cicadareel/internal/outcome"
 	"github.com/cicadareel/cicadareel/internal/process/settings"
-	"github.com/cicadareel/cicadareel/internal/request/outcome"
 )
 
 func TestCLI(t *testing.T) {
--- a/internal/cli/keys_test.go
+++ b/internal/cli/keys_test.go
@@ -12,8 +12,7 @@
 
 	"github.com/cicadareel/cicadareel/internal/connection/peer"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
-	"github.com/cicadareel/cicadareel/internal/process/identity"
-	"github.com/cicadareel/cicadareel/internal/process/settings"
+	"github.com/cicadareel/cicadareel/internal/identity"
 )
 
 type greeting struct{ wire.UnimplementedPeerServer }
@@ -26,7 +25,7 @@
 func newIdentity(dir, name string) *identity.Identity {
 	GinkgoHelper()
 	Expect(Main([]string{"cicadareel", "keys", "certificate", "--out", dir, name})).To(BeZero())
-	i, err := identity.NewIdentity(settings.TLS{
+	i, err := identity.NewIdentity(identity.Files{
 		CAFile:   filepath.Join(dir, "ca.pem"),
 		CertFile: filepath.Join(dir, name+".pem"),
 		KeyFile:  filepath.Join(dir, name+".key"),
--- a/internal/connection/caller/claiming.go
+++ b/internal/connection/caller/claiming.go
@@ -6,8 +6,8 @@
 
 	"github.com/cicadareel/cicadareel/internal/connection/sidecar"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
+	"github.com/cicadareel/cicadareel/internal/outcome"
 	"github.com/cicadareel/cicadareel/internal/request/claim"
-	"github.com/cicadareel/cicadareel/internal/request/outcome"
 	"github.com/cicadareel/cicadareel/pkg/bundle"
 )
 
@@ -25,12 +25,12 @@
 	mine := claim.Claim{
 		RequestID:   a.id.GetRequestId(),
 		Attempt:     a.id.GetNumber(),
-		Endpoint:    a.target.Link.Endpoint(),
+		Endpoint:    a.target.Member.Name,
 		Incarnation: a.remote.Incarnation,
 		Epoch:       a.remote.Epoch,
 		BodyDigest:  bundle.HashToken(d.request.method + " " + d.request.target + "\n" + string(d.request.body)),
 	}
-	held, err := d.service.claims.Take(ctx, d.request.key, mine, d.revision)
+	held, err := d.service.Claims.Take(ctx, d.request.key, mine, d.revision)
 	if err != nil {
 		return done{outcome: d.unfinished(outcome.ClaimStoreDown)}
 	}
@@ -47,22 +47,22 @@
 // follow gives the caller the outcome of the attempt that holds the claim.
 func (d *dispatch) follow(ctx context.Context, c claim.Claim) next {
 	d.request.id = c.RequestID
-	d.delivery.w.Header().Set(RequestIDHeader, c.RequestID)
+	d.service.Dialect.Name(d.delivery.w.Header(), c.RequestID)
 	d.attempt = c.Attempt
 	for look := 0; ctx.Err() == nil; look++ {
-		target, ok := d.service.fleet.Find(c.Endpoint)
+		link, ok := d.service.Fleet.Find(c.Endpoint)
 		if !ok {
 			pause(ctx, lookInterval)
 			continue
 		}
 		a := attempt{
-			target: target,
+			target: Target{Way: Gated{Link: link}},
 			remote: sidecar.Remote{Incarnation: c.Incarnation, Epoch: c.Epoch},
 			id:     &wire.AttemptId{RequestId: c.RequestID, Number: c.Attempt},
 		}
-		reply, err := target.Link.Seal(ctx, a.id, a.remote, look < patientLooks)
+		reply, err := link.Seal(ctx, a.id, a.remote, look < patientLooks)
 		if err == nil && reply.GetState() != wire.SealState_SEAL_STATE_NOT_SEEN {
-			return d.afterSeal(ctx, a, reply)
+			return d.afterSeal(ctx, a, link, reply)
 		}
 		pause(ctx, lookInterval)
 	}
--- a/internal/connection/caller/dispatch.go
+++ b/internal/connection/caller/dispatch.go
@@ -3,15 +3,20 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/cicadareel/cicadareel/internal/connection/endpoint"
 	"github.com/cicadareel/cicadareel/internal/connection/sidecar"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
+	"github.com/cicadareel/cicadareel/internal/events"
+	"github.com/cicadareel/cicadareel/internal/outcome"
 	"github.com/cicadareel/cicadareel/internal/request/choice"
-	"github.com/cicadareel/cicadareel/internal/request/outcome"
 	"github.com/cicadareel/cicadareel/internal/request/retry"
+	"github.com/cicadareel/cicadareel/internal/request/transport"
 )
 
 const (
@@ -28,6 +33,12 @@
 	// endpointWait bounds the time that one request waits for an eligible
 	// endpoint. It covers the replacement of a silent or cut connection.
 	endpointWait = 4 * time.Second
+	// resumeWait bounds the time that a stream which has begun waits: callers
+	// give a stream up after two seconds without an event.
+	resumeWait = 2 * time.Second
+	// objectiveShare is the part of the objective that a request may wait
+	// before it is refused.
+	objectiveShare = 8
 	// waitersLimit bounds the requests of an entry that wait like this.
 	waitersLimit = 2048
 )
@@ -40,8 +51,9 @@
 	query    *choice.Query
 	// attempt is the number of the last attempt begun or claimed.
 	attempt uint32
-	// tries counts the attempts of this entry.
-	tries int
+	// tries counts the attempts of this entry, sends those that may have put
+	// load on an endpoint.
+	tries, sends int
 	// waited is the time spent waiting for an eligible endpoint.
 	waited time.Duration
 	// revision of the claim's row; 0 while there is none.
@@ -49,19 +61,43 @@
 	// mayHaveRun is true once an attempt may have reached an endpoint; from
 	// then on the outcome cannot be "not run".
 	mayHaveRun bool
+	// failure is the answer of an endpoint that failed, for want of a better.
+	failure *transport.Failed
+	// endpoints are the names of those tried, in order.
+	endpoints []string
 }
 
-// attempt is one attempt at one sidecar.
+// attempt is one attempt at one endpoint.
 type attempt struct {
 	target Target
-	remote sidecar.Remote
 	id     *wire.AttemptId
+	// remote is the sidecar's process; zero without one.
+	remote sidecar.Remote
 }
 
 func newDispatch(s *Service, q *request, w *delivery) *dispatch {
 	return &dispatch{service: s, request: q, delivery: w, query: q.query()}
 }
 
+// firstByteAfter is the time from the request to the first byte of its answer.
+func (d *dispatch) firstByteAfter() time.Duration {
+	if d.delivery.firstByte.IsZero() {
+		return time.Since(d.request.started)
+	}
+	return d.delivery.firstByte.Sub(d.request.started)
+}
+
+// fields describes the dispatch in logs.
+func (d *dispatch) fields() events.Fields {
+	return events.Fields{
+		"status":      d.delivery.status,
+		"tookMs":      time.Since(d.request.started).Milliseconds(),
+		"firstByteMs": d.firstByteAfter().Milliseconds(),
+		"endpoints":   strings.Join(d.endpoints, ","),
+		"waitedMs":    d.waited.Milliseconds(),
+	}
+}
+
 // next says how to go on after an attempt: done or again.
 type next interface{ isNext() }
 
@@ -94,7 +130,6 @@
 // mayRetry returns the final outcome if another attempt is not allowed, else
 // nil.
 func (d *dispatch) mayRetry(ctx context.Context, reason outcome.Reason) outcome.Outcome {
-	s := d.service
 	if ctx.Err() != nil {
 		return d.unfinished(reason)
 	}
@@ -102,18 +137,34 @@
 		return nil
 	}
 	free := retry.Free(reason)
-	if d.tries >= retry.MaxAttempts && (!free || d.tries >= freeAttempts) {
+	if !free {
+		d.sends++
+	}
+	if d.sends >= d.maxAttempts() || d.tries >= freeAttempts {
 		return d.unfinished(reason)
 	}
-	if !free && !s.budget.Spend() {
+	if !free && !d.service.Budgets.Of(d.request.group.Name).Spend() {
 		return d.unfinished(outcome.RetryBudgetSpent)
 	}
-	s.metrics.Retried(reason)
+	d.service.Metrics.Retried(reason)
+	d.service.log(d.request, events.RequestRetried, events.Fields{"reason": reason, "endpoints": strings.Join(d.endpoints, ","), "tries": d.tries})
 	return nil
 }
 
-// unfinished is the honest outcome when no further attempt follows.
+func (d *dispatch) maxAttempts() int {
+	if n := d.request.route.MaxAttempts; n > 0 {
+		return n
+	}
+	return retry.MaxAttempts
+}
+
+// unfinished is the honest outcome when no further attempt follows. The answer
+// of an endpoint that failed is better than none.
 func (d *dispatch) unfinished(reason outcome.Reason) outcome.Outcome {
+	if d.failure != nil && !d.delivery.headSent {
+		d.delivery.whole(*d.failure)
+		return outcome.Answered{}
+	}
 	if d.mayHaveRun {
 		return outcome.Unknown{Reason: reason}
 	}
@@ -122,17 +173,21 @@
 
 // try makes one attempt.
 func (d *dispatch) try(ctx context.Context) next {
-	target, ok := d.service.fleet.Choose(d.request.route.Group, d.query)
+	target, ok := d.service.Fleet.Choose(d.request.group.Name, d.query)
 	if !ok {
 		return d.waitForEndpoint(ctx)
 	}
-	remote, err := target.Link.Remote()
-	if err != nil {
-		d.query.Avoid(target.Member)
-		d.tries++
-		return again{reason: outcome.EndpointUnreachable}
+	a := attempt{target: target}
+	if w, ok := target.Way.(Gated); ok {
+		remote, err := w.Link.Remote()
+		if err != nil {
+			d.query.Avoid(target.Member)
+			d.tries++
+			return again{reason: outcome.EndpointUnreachable}
+		}
+		a.remote = remote
 	}
-	a := d.nextAttempt(target, remote)
+	d.number(&a)
 	if d.request.key != "" {
 		if step := d.claim(ctx, a); step != nil {
 			return step
@@ -146,7 +201,7 @@
 func (d *dispatch) waitForEndpoint(ctx context.Context) next {
 	waiters := &d.service.waiters
 	defer waiters.Add(-1)
-	if waiters.Add(1) > waitersLimit || d.waited >= endpointWait {
+	if waiters.Add(1) > waitersLimit || d.waited >= d.patience() {
 		return done{outcome: d.unfinished(outcome.NoEndpoint)}
 	}
 	d.query = d.request.query()
@@ -155,28 +210,84 @@
 	return again{reason: outcome.NoEndpoint}
 }
 
-func (d *dispatch) nextAttempt(t Target, r sidecar.Remote) attempt {
+// patience bounds the time that the request waits for an eligible endpoint. A
+// caller with an objective comes back sooner than it would be served here; one
+// whose stream has begun would lose it.
+func (d *dispatch) patience() time.Duration {
+	objective := d.request.route.Objective
+	switch {
+	case objective == 0:
+		return endpointWait
+	case d.delivery.headSent:
+		return resumeWait
+	}
+	return objective / objectiveShare
+}
+
+// number gives the attempt its number.
+func (d *dispatch) number(a *attempt) {
 	d.attempt++
 	d.tries++
-	return attempt{target: t, remote: r, id: &wire.AttemptId{RequestId: d.request.id, Number: d.attempt}}
+	a.id = &wire.AttemptId{RequestId: d.request.id, Number: d.attempt}
+	d.endpoints = append(d.endpoints, a.target.Member.Name)
 }
 
 // attemptAt sends the attempt and delivers its answer.
 func (d *dispatch) attemptAt(ctx context.Context, a attempt) next {
 	a.target.Member.Begin()
 	defer a.target.Member.End()
-	x, err := a.target.Link.Begin(ctx, d.begin(a))
+	x, err := d.begin(ctx, a)
 	if err != nil {
 		d.query.Avoid(a.target.Member)
 		return again{reason: outcome.EndpointUnreachable}
 	}
-	d.delivery.skip = d.delivery.offset
+	d.delivery.restart()
 	return d.after(ctx, a, x, d.read(ctx, x))
 }
 
+// begin sends the attempt on its way.
+func (d *dispatch) begin(ctx context.Context, a attempt) (transport.Exchange, error) {
+	switch w := a.target.Way.(type) {
+	case Gated:
+		return w.Link.Begin(ctx, d.frame(a))
+	case Direct:
+		return w.Endpoint.Begin(ctx, d.call()), nil
+	}
+	return nil, &NoWayError{Endpoint: a.target.Member.Name}
+}
+
+// NoWayError reports a target that cannot be reached in any known way.
+type NoWayError struct{ Endpoint string }
+
+func (e *NoWayError) Error() string { return "no way to endpoint " + e.Endpoint }
+
+// call describes an attempt that goes straight to an endpoint.
+func (d *dispatch) call() endpoint.Attempt {
+	q := d.request
+	c := endpoint.Attempt{
+		Call: endpoint.Call{
+			Method: q.method,
+			Host:   q.host,
+			Target: q.target,
+			Header: q.header.Clone(),
+			Body:   q.body,
+		},
+		RequestID:   q.id,
+		Account:     q.account.Name,
+		Deadline:    q.deadline,
+		ResumeAfter: q.resumeAfter,
+		Stream:      q.route.Stream,
+		Idempotent:  q.route.Idempotent,
+	}
+	if d.delivery.events != nil {
+		c.ResumeAfter = d.delivery.events.Last()
+	}
+	return c
+}
+
 // read delivers an exchange until a little after the deadline, or until the
 // caller goes away.
-func (d *dispatch) read(ctx context.Context, x *sidecar.Exchange) result {
+func (d *dispatch) read(ctx context.Context, x transport.Exchange) result {
 	grace, cancel := context.WithDeadline(context.WithoutCancel(ctx), d.request.deadline.Add(answerGrace))
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() {
@@ -192,7 +303,8 @@
 	return r
 }
 
-func (d *dispatch) begin(a attempt) *wire.Begin {
+// frame describes an attempt that goes through a gate.
+func (d *dispatch) frame(a attempt) *wire.Begin {
 	q := d.request
 	return &wire.Begin{
 		Id:            a.id,
@@ -207,21 +319,27 @@
 		Epoch:         a.remote.Epoch,
 		Method:        q.method,
 		Target:        q.target,
-		Headers:       q.headers,
+		Headers:       headersToWire(q.header),
 		Body:          q.body,
 	}
 }
 
 // after decides what follows from how an exchange ended.
-func (d *dispatch) after(ctx context.Context, a attempt, x *sidecar.Exchange, r result) next {
+func (d *dispatch) after(ctx context.Context, a attempt, x transport.Exchange, r result) next {
 	switch k := r.(type) {
 	case whole:
 		return done{outcome: outcome.Answered{}}
 	case gone:
 		x.Cancel()
 		return done{outcome: outcome.Unknown{Reason: outcome.Canceled}}
+	case failed:
+		return d.afterFailure(a, k)
 	case refused:
 		return d.afterRefusal(ctx, a, k)
+	case disordered:
+		x.Cancel()
+		d.service.log(d.request, events.EventsDisordered, events.Fields{"endpoint": a.target.Member.Name, "error": k.cause.Error()})
+		return done{outcome: outcome.Unknown{Reason: outcome.EventsOutOfOrder}}
 	case broken:
 		if k.timedOut {
 			x.Cancel()
@@ -233,8 +351,8 @@
 }
 
 func (d *dispatch) afterRefusal(ctx context.Context, a attempt, r refused) next {
-	if r.reason == outcome.AlreadyAdmitted {
-		return d.resume(ctx, a)
+	if w, ok := a.target.Way.(Gated); ok && r.reason == outcome.AlreadyAdmitted {
+		return d.resume(ctx, a, w.Link)
 	}
 	d.query.Avoid(a.target.Member)
 	if !r.mayHaveRun {
@@ -243,6 +361,18 @@
 	return d.replay(r.reason)
 }
 
+// afterFailure tries another endpoint if the request may be repeated, else it
+// delivers the failure.
+func (d *dispatch) afterFailure(a attempt, f failed) next {
+	d.query.Avoid(a.target.Member)
+	d.failure = &f.answer
+	d.mayHaveRun = true
+	if d.request.route.Idempotent {
+		return again{reason: outcome.EndpointFailed}
+	}
+	return done{outcome: d.unfinished(outcome.EndpointFailed)}
+}
+
 // replay repeats an idempotent request whose attempt may have run, if nothing
 // of its answer went out or the route permits splicing.
 func (d *dispatch) replay(reason outcome.Reason) next {
@@ -258,24 +388,38 @@
 	return route.Idempotent && (!d.delivery.headSent || route.Splice)
 }
 
-// afterTimeout seals an attempt that is out of time: what never started did
-// not run.
+// afterTimeout settles an attempt that is out of time: what its gate never
+// admitted did not run.
 func (d *dispatch) afterTimeout(a attempt) next {
-	reply, err := a.target.Link.Seal(context.Background(), a.id, a.remote, false)
-	if err == nil && reply.GetState() == wire.SealState_SEAL_STATE_NEVER_ADMITTED {
-		return done{outcome: d.unfinished(outcome.DeadlineTooShort)}
+	if w, ok := a.target.Way.(Gated); ok {
+		reply, err := w.Link.Seal(context.Background(), a.id, a.remote, false)
+		if err == nil && reply.GetState() == wire.SealState_SEAL_STATE_NEVER_ADMITTED {
+			return done{outcome: d.unfinished(outcome.DeadlineTooShort)}
+		}
 	}
 	return done{outcome: outcome.Unknown{Reason: outcome.DeadlineTooShort}}
 }
 
-// settle finds out what became of an attempt whose connection broke and takes
-// the matching next step. A sidecar that does not say is asked until the
-// deadline, unless the request can be repeated at another endpoint.
+// settle finds out what became of an attempt whose transport broke and takes
+// the matching next step. Without a gate nobody can say whether it ran.
 func (d *dispatch) settle(ctx context.Context, a attempt) next {
+	switch w := a.target.Way.(type) {
+	case Gated:
+		return d.askGate(ctx, a, w.Link)
+	default:
+		d.query.Avoid(a.target.Member)
+		return d.replay(outcome.ConnectionLost)
+	}
+}
+
+// askGate asks a sidecar what became of an attempt. One that does not say is
+// asked until the deadline, unless the request can be repeated at another
+// endpoint.
+func (d *dispatch) askGate(ctx context.Context, a attempt, link *sidecar.Link) next {
 	for {
-		reply, err := a.target.Link.Seal(ctx, a.id, a.remote, false)
+		reply, err := link.Seal(ctx, a.id, a.remote, false)
 		if err == nil {
-			return d.afterSeal(ctx, a, reply)
+			return d.afterSeal(ctx, a, link, reply)
 		}
 		if d.mayReplay() {
 			d.query.Avoid(a.target.Member)
@@ -288,22 +432,22 @@
 	}
 }
 
-func (d *dispatch) afterSeal(ctx context.Context, a attempt, reply *wire.SealReply) next {
+func (d *dispatch) afterSeal(ctx context.Context, a attempt, link *sidecar.Link, reply *wire.SealReply) next {
 	switch reply.GetState() {
 	case wire.SealState_SEAL_STATE_NEVER_ADMITTED:
 		d.query.Avoid(a.target.Member)
 		return again{reason: outcome.Sealed}
 	case wire.SealState_SEAL_STATE_RUNNING, wire.SealState_SEAL_STATE_ANSWER_KEPT:
-		return d.resume(ctx, a)
+		return d.resume(ctx, a, link)
 	}
 	d.query.Avoid(a.target.Member)
 	return d.replay(outcome.ConnectionLost)
 }
 
 // resume reads the rest of an answer over the link's next stream.
-func (d *dispatch) resume(ctx context.Context, a attempt) next {
+func (d *dispatch) resume(ctx context.Context, a attempt, link *sidecar.Link) next {
 	for range resumeTries {
-		x, err := a.target.Link.Resume(ctx, a.id, a.remote.Incarnation, d.delivery.offset)
+		x, err := link.Resume(ctx, a.id, a.remote.Incarnation, d.delivery.offset)
 		if err == nil {
 			d.delivery.skip = 0
 			return d.after(ctx, a, x, d.read(ctx, x))
@@ -316,6 +460,14 @@
 	return d.settle(ctx, a)
 }
 
+func headersToWire(h http.Header) []*wire.Header {
+	out := make([]*wire.Header, 0, len(h))
+	for name, values := range h {
+		out = append(out, &wire.Header{Name: name, Values: values})
+	}
+	return out
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/connection/caller/problem.go
+++ b/internal/connection/caller/problem.go
@@ -1,13 +1,16 @@
 package caller
 
 import (
+	"crypto/rand"
 	"encoding/json"
 	"net/http"
+	"strings"
+	"time"
 
-	"github.com/cicadareel/cicadareel/internal/request/outcome"
+	"github.com/cicadareel/cicadareel/internal/outcome"
 )
 
-// Names of header fields of the callers' interface.
+// Names of header fields of the product's own interface.
 const (
 	// IdempotencyKeyHeader identifies a request that may be sent again.
 	IdempotencyKeyHeader = "Idempotency-Key"
@@ -17,8 +20,12 @@
 	RequestIDHeader = "Cicadareel-Request-Id"
 )
 
-// retryAfter is the pause suggested to a caller who was refused, in seconds.
-const retryAfter = "1"
+const (
+	// keyLimit bounds an idempotency key, in bytes.
+	keyLimit = 256
+	// retryAfter is the pause suggested to a caller who was refused, in seconds.
+	retryAfter = "1"
+)
 
 // Problem is the body of a refusal (RFC 9457).
 type Problem struct {
@@ -32,12 +39,55 @@
 	RequestID string         `json:"requestId,omitempty"`
 }
 
+// ProblemDialect is the product's own interface: bearer tokens, idempotency
+// keys, and refusals as problem documents.
+type ProblemDialect struct{}
+
+// Ask implements Dialect.
+func (ProblemDialect) Ask(r *http.Request) (Asked, error) {
+	a := Asked{
+		ID:      rand.Text(),
+		Token:   bearer(r),
+		Key:     r.Header.Get(IdempotencyKeyHeader),
+		Private: []string{"Authorization", TimeoutHeader, RequestIDHeader},
+	}
+	if len(a.Key) > keyLimit {
+		return a, &InvalidRequestError{outcome.Malformed, "Idempotency-Key is longer than 256 bytes"}
+	}
+	text := r.Header.Get(TimeoutHeader)
+	if text == "" {
+		return a, nil
+	}
+	timeout, err := time.ParseDuration(text)
+	if err != nil || timeout <= 0 {
+		return a, &InvalidRequestError{outcome.Malformed, "Cicadareel-Timeout must be a positive duration such as 1.5s"}
+	}
+	a.Timeout = timeout
+	return a, nil
+}
+
+func bearer(r *http.Request) string {
+	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return token
+}
+
+// Name implements Dialect.
+func (ProblemDialect) Name(h http.Header, id string) { h.Set(RequestIDHeader, id) }
+
+// Refuse implements Dialect.
+func (ProblemDialect) Refuse(w http.ResponseWriter, r Refusal) {
+	newProblem(r.Outcome, r.Detail, r.RequestID).write(w)
+}
+
 // newProblem describes an outcome other than Answered.
 func newProblem(o outcome.Outcome, detail, requestID string) Problem {
 	p := Problem{Type: "about:blank", Detail: detail, RequestID: requestID}
 	switch k := o.(type) {
 	case outcome.NotRun:
-		p.Outcome, p.Reason, p.Status = "notRun", k.Reason, statusOf(k.Reason)
+		p.Outcome, p.Reason, p.Status = "notRun", k.Reason, StatusOf(k.Reason)
 	case outcome.Unknown:
 		p.Outcome, p.Reason, p.Status = "unknown", k.Reason, http.StatusBadGateway
 	}
@@ -45,7 +95,8 @@
 	return p
 }
 
-func statusOf(r outcome.Reason) int {
+// StatusOf returns the status of a request that did not run.
+func StatusOf(r outcome.Reason) int {
 	switch r {
 	case outcome.Unauthorized:
 		return http.StatusUnauthorized
--- a/internal/connection/caller/request.go
+++ b/internal/connection/caller/request.go
@@ -1,26 +1,24 @@
 package caller
 
 import (
-	"crypto/rand"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
 
-	"github.com/cicadareel/cicadareel/internal/connection/wire"
+	"github.com/cicadareel/cicadareel/internal/outcome"
 	"github.com/cicadareel/cicadareel/internal/request/choice"
 	"github.com/cicadareel/cicadareel/internal/request/claim"
-	"github.com/cicadareel/cicadareel/internal/request/outcome"
 	"github.com/cicadareel/cicadareel/pkg/bundle"
 )
 
-const (
-	// prefixBytes is the length of the start of a body that decides affinity.
-	prefixBytes = 256
-	// keyLimit bounds an idempotency key, in bytes.
-	keyLimit = 256
-)
+// prefixBytes is the length of the start of a body that decides affinity.
+const prefixBytes = 256
+
+// anonymous is the client account of requests on routes that need no token.
+var anonymous = &bundle.ClientAccount{Weight: 1}
 
 // InvalidRequestError reports a request that never reaches an endpoint.
 type InvalidRequestError struct {
@@ -32,78 +30,69 @@
 
 // request is a caller's request after all checks.
 type request struct {
-	id       string
-	account  *bundle.ClientAccount
-	route    *bundle.Route
-	kind     bundle.Kind
+	id      string
+	account *bundle.ClientAccount
+	route   *bundle.Route
+	group   *bundle.Group
+	// version is that of the bundle that the request was checked against.
 	version  uint64
+	started  time.Time
 	deadline time.Time
 	method   string
+	host     string
 	target   string
-	headers  []*wire.Header
-	body     []byte
+	// header holds the fields that are forwarded.
+	header http.Header
+	body   []byte
 	// key is the claim's table key; empty without an idempotency key.
 	key string
+	// resumeAfter is the id of the last event that the caller has.
+	resumeAfter uint64
 }
 
 // readRequest checks a request against the bundle and reads its body.
-func readRequest(w http.ResponseWriter, r *http.Request, b *bundle.Bundle, now time.Time) (*request, error) {
-	account := b.Account(bearer(r))
-	if account == nil {
-		return nil, &InvalidRequestError{outcome.Unauthorized, "send Authorization: Bearer with a token of a client account"}
-	}
-	route := b.Route(r.URL.Path)
-	if route == nil {
-		return nil, &InvalidRequestError{outcome.NoRoute, "no route of the bundle matches this path"}
-	}
-	timeout, err := readTimeout(r, route)
+func readRequest(w http.ResponseWriter, r *http.Request, b *bundle.Bundle, d Dialect, now time.Time) (*request, error) {
+	asked, err := d.Ask(r)
+	q := &request{id: asked.ID, version: b.Version, started: now, method: r.Method, host: r.Host, target: r.RequestURI}
 	if err != nil {
-		return nil, err
+		return q, err
 	}
-	key := r.Header.Get(IdempotencyKeyHeader)
-	if len(key) > keyLimit {
-		return nil, &InvalidRequestError{outcome.Malformed, "Idempotency-Key is longer than 256 bytes"}
+	if err := q.findRoute(b, r.URL.Path, asked.Token); err != nil {
+		return q, err
 	}
-	body, err := readBody(w, r, route)
-	if err != nil {
-		return nil, err
+	q.deadline = now.Add(q.route.Timeout)
+	if asked.Timeout > 0 {
+		q.deadline = now.Add(min(asked.Timeout, q.route.Timeout))
 	}
-	q := &request{
-		id:       rand.Text(),
-		account:  account,
-		route:    route,
-		kind:     b.Group(route.Group).Kind,
-		version:  b.Version,
-		deadline: now.Add(timeout),
-		method:   r.Method,
-		target:   r.URL.RequestURI(),
-		headers:  forwardedHeaders(r.Header),
-		body:     body,
+	if q.body, err = readBody(w, r, q.route); err != nil {
+		return q, err
 	}
-	if key != "" && !route.Idempotent {
-		q.key = claim.Key(account.Name, key)
+	q.header = forwardedHeader(r.Header, asked.Private)
+	q.resumeAfter = asked.ResumeAfter
+	if asked.Key != "" && !q.route.Idempotent {
+		q.key = claim.Key(q.account.Name, asked.Key)
 	}
 	return q, nil
 }
 
-func bearer(r *http.Request) string {
-	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
-	if !strings.EqualFold(scheme, "Bearer") {
-		return ""
+// findRoute sets route, account and group.
+func (q *request) findRoute(b *bundle.Bundle, path, token string) error {
+	q.route = b.Route(q.host, path)
+	q.account = b.Account(token)
+	if q.route != nil && q.route.Anonymous && q.account == nil {
+		q.account = anonymous
 	}
-	return token
-}
-
-func readTimeout(r *http.Request, route *bundle.Route) (time.Duration, error) {
-	text := r.Header.Get(TimeoutHeader)
-	if text == "" {
-		return route.Timeout, nil
+	if q.account == nil {
+		return &InvalidRequestError{outcome.Unauthorized, "send a token of a client account"}
+	}
+	if q.route == nil {
+		return &InvalidRequestError{outcome.NoRoute, "no route of the bundle matches this host and path"}
 	}
-	timeout, err := time.ParseDuration(text)
-	if err != nil || timeout <= 0 {
-		return 0, &InvalidRequestError{outcome.Malformed, "Cicadareel-Timeout must be a positive duration such as 1.5s"}
+	q.group = b.Group(q.route.GroupFor(rand.Float64()))
+	if q.group == nil {
+		return &InvalidRequestError{outcome.NoEndpoint, "the route leads to no group"}
 	}
-	return min(timeout, route.Timeout), nil
+	return nil
 }
 
 func readBody(w http.ResponseWriter, r *http.Request, route *bundle.Route) ([]byte, error) {
@@ -118,10 +107,8 @@
 	return body, nil
 }
 
-// dropped are the header fields that end at this hop or are not the
-// endpoint's business.
+// dropped are the header fields that concern one connection only.
 var dropped = map[string]bool{
-	"Authorization":       true,
 	"Connection":          true,
 	"Content-Length":      true,
 	"Keep-Alive":          true,
@@ -133,31 +120,34 @@
 	"Transfer-Encoding":   true,
 	"Upgrade":             true,
 	"Expect":              true,
-	TimeoutHeader:         true,
-	RequestIDHeader:       true,
 }
 
-func forwardedHeaders(h http.Header) []*wire.Header {
-	named := map[string]bool{}
+// forwardedHeader copies the fields that concern the endpoint.
+func forwardedHeader(h http.Header, private []string) http.Header {
+	out := h.Clone()
 	for _, line := range h.Values("Connection") {
 		for name := range strings.SplitSeq(line, ",") {
-			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+			out.Del(strings.TrimSpace(name))
 		}
 	}
-	out := make([]*wire.Header, 0, len(h))
-	for name, values := range h {
-		if !dropped[name] && !named[name] {
-			out = append(out, &wire.Header{Name: name, Values: values})
-		}
+	for name := range dropped {
+		out.Del(name)
+	}
+	for _, name := range private {
+		out.Del(name)
 	}
 	return out
 }
 
-// query prepares the choice of an endpoint. Model requests with the same
-// start go to the same endpoint, whose prefix cache may hold it.
+// query prepares the choice of an endpoint. Model requests with the same start
+// go to the same endpoint, whose prefix cache may hold it; where endpoints keep
+// no prefixes, load alone decides.
 func (q *request) query() *choice.Query {
 	c := &choice.Query{}
-	if q.kind == bundle.KindModel && len(q.body) > 0 {
+	switch {
+	case q.group.NoPrefixCache:
+		c.Even = true
+	case q.group.Kind == bundle.KindModel && len(q.body) > 0:
 		c.HasPrefix = true
 		c.Prefix = choice.Prefix(q.body[:min(len(q.body), prefixBytes)])
 	}
--- a/internal/connection/caller/service.go
+++ b/internal/connection/caller/service.go
@@ -9,12 +9,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cicadareel/cicadareel/internal/connection/endpoint"
 	"github.com/cicadareel/cicadareel/internal/connection/sidecar"
-	"github.com/cicadareel/cicadareel/internal/process/events"
-	"github.com/cicadareel/cicadareel/internal/process/metrics"
+	"github.com/cicadareel/cicadareel/internal/events"
+	"github.com/cicadareel/cicadareel/internal/metrics"
+	"github.com/cicadareel/cicadareel/internal/outcome"
 	"github.com/cicadareel/cicadareel/internal/request/choice"
 	"github.com/cicadareel/cicadareel/internal/request/claim"
-	"github.com/cicadareel/cicadareel/internal/request/outcome"
 	"github.com/cicadareel/cicadareel/internal/request/retry"
 	"github.com/cicadareel/cicadareel/pkg/bundle"
 )
@@ -23,19 +24,34 @@
 // bodies fit its memory.
 const requestLimit = 8192
 
+// Way is how an attempt reaches an endpoint: Gated or Direct.
+type Way interface{ isWay() }
+
+// Gated leads through the gate of the sidecar beside the endpoint.
+type Gated struct{ Link *sidecar.Link }
+
+// Direct leads straight to the endpoint.
+type Direct struct{ Endpoint *endpoint.Direct }
+
+func (Gated) isWay()  {}
+func (Direct) isWay() {}
+
 // Target is an endpoint that may take an attempt.
 type Target struct {
 	Member *choice.Member
-	Link   *sidecar.Link
+	Way    Way
 }
 
 // Fleet knows the endpoints.
 type Fleet interface {
 	// Choose returns a target of the group, or false if none is eligible.
 	Choose(group string, q *choice.Query) (Target, bool)
-	// Find returns the target with the endpoint's name, also if it takes no
+	// Find returns the link to the endpoint with the name, also if it takes no
 	// new work.
-	Find(endpoint string) (Target, bool)
+	Find(endpoint string) (*sidecar.Link, bool)
+	// Backlog is the time after which the group should take new work again; 0
+	// if nothing is known.
+	Backlog(group string) time.Duration
 }
 
 // Claims settles which attempt runs a keyed request.
@@ -46,14 +62,21 @@
 // Bundles returns the bundle in force, or nil.
 type Bundles func() *bundle.Bundle
 
+// Parts are what the service is made of.
+type Parts struct {
+	Bundles Bundles
+	Fleet   Fleet
+	// Claims is nil where the dialect knows no keys.
+	Claims  Claims
+	Dialect Dialect
+	Budgets *retry.Budgets
+	Log     *events.Log
+	Metrics *metrics.Metrics
+}
+
 // Service is the handler of callers' requests.
 type Service struct {
-	bundles Bundles
-	fleet   Fleet
-	claims  Claims
-	budget  *retry.Budget
-	log     *events.Log
-	metrics *metrics.Metrics
+	Parts
 	// inProgress counts requests from their check to their outcome.
 	inProgress atomic.Int64
 	// waiters counts the requests that wait for an eligible endpoint.
@@ -61,63 +84,84 @@
 }
 
 // NewService returns a handler.
-func NewService(b Bundles, f Fleet, c Claims, l *events.Log, m *metrics.Metrics) *Service {
-	return &Service{bundles: b, fleet: f, claims: c, budget: retry.NewBudget(), log: l, metrics: m}
-}
+func NewService(p Parts) *Service { return &Service{Parts: p} }
 
 // ServeHTTP implements http.Handler.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	b := s.bundles()
+	b := s.Bundles()
 	if b == nil {
-		s.refuse(w, outcome.NotRun{Reason: outcome.NoBundle}, "no bundle is in force yet", "")
+		s.refuse(w, Refusal{Outcome: outcome.NotRun{Reason: outcome.NoBundle}, Detail: "no bundle is in force yet"})
 		return
 	}
 	defer s.inProgress.Add(-1)
 	if s.inProgress.Add(1) > requestLimit {
-		s.refuse(w, outcome.NotRun{Reason: outcome.Overloaded}, "the entry carries as many requests as it may", "")
+		s.refuse(w, Refusal{Outcome: outcome.NotRun{Reason: outcome.Overloaded}, Detail: "the entry carries as many requests as it may"})
 		return
 	}
-	q, err := readRequest(w, r, b, now)
+	q, err := readRequest(w, r, b, s.Dialect, now)
+	s.Dialect.Name(w.Header(), q.id)
 	var invalid *InvalidRequestError
 	if errors.As(err, &invalid) {
-		s.refuse(w, outcome.NotRun{Reason: invalid.Reason}, invalid.Detail, "")
+		s.log(q, events.RequestInvalid, events.Fields{"reason": invalid.Reason, "detail": invalid.Detail})
+		s.refuse(w, Refusal{Outcome: outcome.NotRun{Reason: invalid.Reason}, Detail: invalid.Detail, RequestID: q.id})
 		return
 	}
-	w.Header().Set(RequestIDHeader, q.id)
-	s.budget.Earn()
-	d := newDispatch(s, q, newDelivery(w))
-	s.conclude(w, d, d.run(r.Context()))
+	s.Budgets.Of(q.group.Name).Earn()
+	d := newDispatch(s, q, newDelivery(w, q))
+	s.conclude(d, d.run(r.Context()))
 }
 
 // conclude tells the caller the outcome. An answer that has begun and cannot
 // be completed is aborted visibly.
-func (s *Service) conclude(w http.ResponseWriter, d *dispatch, o outcome.Outcome) {
+func (s *Service) conclude(d *dispatch, o outcome.Outcome) {
+	q := d.request
 	if _, ok := o.(outcome.Answered); ok {
-		s.metrics.Answered()
+		s.Metrics.Answered(time.Since(q.started), d.firstByteAfter())
+		s.log(q, events.RequestAnswered, d.fields())
 		return
 	}
+	fields := d.fields()
+	fields["reason"] = reasonOf(o)
 	if d.delivery.headSent {
 		s.count(o)
-		s.log.Info(events.RequestCut, events.Fields{"request": d.request.id})
+		s.log(q, events.RequestCut, fields)
 		panic(http.ErrAbortHandler)
 	}
+	event := events.RequestRefused
 	if _, ok := o.(outcome.Unknown); ok {
-		s.log.Info(events.RequestUnknown, events.Fields{"request": d.request.id})
+		event = events.RequestUnknown
 	}
-	s.refuse(w, o, "", d.request.id)
+	refusal := Refusal{Outcome: o, RequestID: q.id, RetryAfter: s.Fleet.Backlog(q.group.Name)}
+	fields["retryAfterMs"] = refusal.RetryAfter.Milliseconds()
+	s.log(q, event, fields)
+	s.refuse(d.delivery.w, refusal)
 }
 
-func (s *Service) refuse(w http.ResponseWriter, o outcome.Outcome, detail, requestID string) {
-	s.count(o)
-	newProblem(o, detail, requestID).write(w)
+// log writes what was decided about a request, with the version of the bundle
+// that it was checked against.
+func (s *Service) log(q *request, e events.Event, fields events.Fields) {
+	fields["request"] = q.id
+	fields["bundleVersion"] = q.version
+	if q.route != nil {
+		fields["route"] = q.route.Name
+	}
+	s.Log.Info(e, fields)
 }
 
-func (s *Service) count(o outcome.Outcome) {
+func (s *Service) refuse(w http.ResponseWriter, r Refusal) {
+	s.count(r.Outcome)
+	s.Dialect.Refuse(w, r)
+}
+
+func (s *Service) count(o outcome.Outcome) { s.Metrics.Refused(reasonOf(o)) }
+
+func reasonOf(o outcome.Outcome) outcome.Reason {
 	switch k := o.(type) {
 	case outcome.NotRun:
-		s.metrics.Refused(k.Reason)
+		return k.Reason
 	case outcome.Unknown:
-		s.metrics.Refused(k.Reason)
+		return k.Reason
 	}
+	return ""
 }
--- a/internal/connection/endpoint/endpoint.go
+++ b/internal/connection/endpoint/endpoint.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -31,7 +32,9 @@
 
 // Call is one request to the endpoint.
 type Call struct {
-	Method     string
+	Method string
+	// Host is the host that the caller named; empty for the endpoint's own.
+	Host       string
 	Target     string
 	Header     http.Header
 	Body       []byte
@@ -116,13 +119,15 @@
 	if err != nil {
 		return nil, &CallError{NeverSent: true, Cause: err}
 	}
+	req.URL.Opaque = call.Target
+	req.Host = call.Host
 	req.Header = call.Header
 	req.ContentLength = int64(len(call.Body))
 	client := c.single
 	if call.Idempotent {
 		client = c.reused
 	}
-	resp, err := client.Do(req)
+	resp, err := client.Transport.RoundTrip(req)
 	if err != nil {
 		return nil, &CallError{NeverSent: !connected.Load(), Cause: err}
 	}
@@ -191,3 +196,9 @@
 	r.rest = r.rest[n:]
 	return n, nil
 }
+
+// neverSent reports whether a call failed before a byte of it was sent.
+func neverSent(err error) bool {
+	var call *CallError
+	return errors.As(err, &call) && call.NeverSent
+}
--- a/internal/connection/endpoint/monitor.go
+++ b/internal/connection/endpoint/monitor.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/cicadareel/cicadareel/internal/process/events"
+	"github.com/cicadareel/cicadareel/internal/events"
 	"github.com/cicadareel/cicadareel/internal/request/gate"
 	"github.com/cicadareel/cicadareel/pkg/bundle"
 )
--- a/internal/connection/entry/conversation.go
+++ b/internal/connection/entry/conversation.go
@@ -9,10 +9,10 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
-	"github.com/cicadareel/cicadareel/internal/process/events"
+	"github.com/cicadareel/cicadareel/internal/events"
+	"github.com/cicadareel/cicadareel/internal/outcome"
 	"github.com/cicadareel/cicadareel/internal/request/answer"
 	"github.com/cicadareel/cicadareel/internal/request/gate"
-	"github.com/cicadareel/cicadareel/internal/request/outcome"
 )
 
 const (
--- a/internal/connection/entry/server.go
+++ b/internal/connection/entry/server.go
@@ -11,11 +11,11 @@
 
 	"github.com/cicadareel/cicadareel/internal/connection/endpoint"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
-	"github.com/cicadareel/cicadareel/internal/process/events"
-	"github.com/cicadareel/cicadareel/internal/process/metrics"
+	"github.com/cicadareel/cicadareel/internal/events"
+	"github.com/cicadareel/cicadareel/internal/metrics"
+	"github.com/cicadareel/cicadareel/internal/outcome"
 	"github.com/cicadareel/cicadareel/internal/request/answer"
 	"github.com/cicadareel/cicadareel/internal/request/gate"
-	"github.com/cicadareel/cicadareel/internal/request/outcome"
 )
 
 const (
--- a/internal/connection/operator/operator.go
+++ b/internal/connection/operator/operator.go
@@ -11,7 +11,7 @@
 
 	"github.com/samber/oops"
 
-	"github.com/cicadareel/cicadareel/internal/process/metrics"
+	"github.com/cicadareel/cicadareel/internal/metrics"
 )
 
 const headerTimeout = 5 * time.Second
--- a/internal/connection/peer/clients.go
+++ b/internal/connection/peer/clients.go
@@ -12,7 +12,7 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/status"
 
-	"github.com/cicadareel/cicadareel/internal/process/identity"
+	"github.com/cicadareel/cicadareel/internal/identity"
 )
 
 const (
--- a/internal/connection/peer/spread.go
+++ b/internal/connection/peer/spread.go
@@ -8,8 +8,8 @@
 
 	"github.com/cicadareel/cicadareel/internal/connection/platform"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
-	"github.com/cicadareel/cicadareel/internal/process/events"
-	"github.com/cicadareel/cicadareel/internal/process/metrics"
+	"github.com/cicadareel/cicadareel/internal/events"
+	"github.com/cicadareel/cicadareel/internal/metrics"
 	"github.com/cicadareel/cicadareel/internal/version/view"
 	"github.com/cicadareel/cicadareel/pkg/bundle"
 )
--- a/internal/connection/platform/intent.go
+++ b/internal/connection/platform/intent.go
@@ -7,6 +7,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/cicadareel/cicadareel/internal/table"
 	"github.com/cicadareel/cicadareel/pkg/bundle"
 	"github.com/cicadareel/cicadareel/pkg/order"
 )
@@ -34,12 +35,12 @@
 
 // Intent reads and writes the operators' intent in the platform's services.
 type Intent struct {
-	table   Table
+	table   table.Table
 	objects Objects
 }
 
 // NewIntent returns an Intent on the given services.
-func NewIntent(t Table, o Objects) *Intent { return &Intent{table: t, objects: o} }
+func NewIntent(t table.Table, o Objects) *Intent { return &Intent{table: t, objects: o} }
 
 // Pointer reads the pointer to the bundle in force without its content; nil
 // if there is none yet.
@@ -121,7 +122,7 @@
 	if err != nil {
 		return oops.In("platform").Wrap(err)
 	}
-	results, err := i.table.Commit(ctx, []Write{{Key: currentKey, Value: value, Expect: revision}})
+	results, err := i.table.Commit(ctx, []table.Write{{Key: currentKey, Value: value, Expect: revision}})
 	if err == nil && results[0].Applied {
 		return nil
 	}
@@ -172,20 +173,20 @@
 // Record writes orders that are not recorded yet and then moves the head.
 // Orders never change, so a row that exists already is as good as written.
 func (i *Intent) Record(ctx context.Context, orders []order.Order) error {
-	writes := make([]Write, 0, len(orders)+1)
+	writes := make([]table.Write, 0, len(orders)+1)
 	for _, o := range orders {
 		value, err := json.Marshal(o)
 		if err != nil {
 			return oops.In("platform").Wrap(err)
 		}
-		writes = append(writes, Write{Key: orderPrefix + o.ID, Value: value})
+		writes = append(writes, table.Write{Key: orderPrefix + o.ID, Value: value})
 	}
 	for range headTries {
 		head, err := i.Head(ctx)
 		if err != nil {
 			return err
 		}
-		moved := Write{Key: headKey, Value: json.RawMessage("true"), Expect: head}
+		moved := table.Write{Key: headKey, Value: json.RawMessage("true"), Expect: head}
 		results, err := i.table.Commit(ctx, append(writes, moved))
 		if err != nil {
 			return err
--- a/internal/connection/platform/platform.go
+++ b/internal/connection/platform/platform.go
@@ -15,30 +15,9 @@
 	"time"
 
 	"github.com/samber/oops"
-)
-
-// Row is one row of the table.
-type Row struct {
-	Key   string          `json:"key"`
-	Value json.RawMessage `json:"value"`
-	// Revision grows with each change of the row; 0 means that it is absent.
-	Revision uint64 `json:"revision"`
-}
-
-// Write replaces one row if its revision is still Expect.
-type Write struct {
-	Key   string          `json:"key"`
-	Value json.RawMessage `json:"value"`
-	// Expect is the revision that the row must have; 0 means absent.
-	Expect uint64 `json:"expect"`
-}
 
-// WriteResult is the outcome of one conditional write.
-type WriteResult struct {
-	Applied bool `json:"applied"`
-	// Row is the row after the transaction.
-	Row Row `json:"row"`
-}
+	"github.com/cicadareel/cicadareel/internal/table"
+)
 
 // State tells whether an instance is in service.
 type State string
@@ -60,14 +39,6 @@
 	State    State  `json:"state"`
 }
 
-// Table is the platform's transactional table.
-type Table interface {
-	Get(ctx context.Context, key string) (Row, error)
-	Scan(ctx context.Context, prefix string) ([]Row, error)
-	// Commit applies each write whose condition holds, all in one transaction.
-	Commit(ctx context.Context, writes []Write) ([]WriteResult, error)
-}
-
 // Objects is the platform's object store.
 type Objects interface {
 	Put(ctx context.Context, name string, content []byte) error
@@ -119,22 +90,22 @@
 }
 
 // Get reads one row; an absent row has revision 0.
-func (c *Client) Get(ctx context.Context, key string) (Row, error) {
-	var row Row
+func (c *Client) Get(ctx context.Context, key string) (table.Row, error) {
+	var row table.Row
 	err := c.call(ctx, http.MethodGet, c.table, "/table/row?key="+url.QueryEscape(key), nil, &row)
 	return row, err
 }
 
 // Scan reads all rows whose keys start with prefix, in key order.
-func (c *Client) Scan(ctx context.Context, prefix string) ([]Row, error) {
-	var rows []Row
+func (c *Client) Scan(ctx context.Context, prefix string) ([]table.Row, error) {
+	var rows []table.Row
 	err := c.call(ctx, http.MethodGet, c.table, "/table/rows?prefix="+url.QueryEscape(prefix), nil, &rows)
 	return rows, err
 }
 
 // Commit applies conditional writes in one transaction.
-func (c *Client) Commit(ctx context.Context, writes []Write) ([]WriteResult, error) {
-	var results []WriteResult
+func (c *Client) Commit(ctx context.Context, writes []table.Write) ([]table.WriteResult, error) {
+	var results []table.WriteResult
 	body, err := json.Marshal(writes)
 	if err != nil {
 		return nil, oops.In("platform").Wrap(err)
--- a/internal/connection/platform/poller.go
+++ b/internal/connection/platform/poller.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cicadareel/cicadareel/internal/process/events"
+	"github.com/cicadareel/cicadareel/internal/events"
 	"github.com/cicadareel/cicadareel/internal/version/view"
 	"github.com/cicadareel/cicadareel/pkg/order"
 )
--- a/internal/connection/sidecar/exchange.go
+++ b/internal/connection/sidecar/exchange.go
@@ -2,44 +2,12 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
-	"github.com/cicadareel/cicadareel/internal/request/outcome"
+	"github.com/cicadareel/cicadareel/internal/request/transport"
 )
 
-// Event is what an attempt brings: HeadEvent, DataEvent, EndEvent,
-// RefusedEvent or BrokenEvent. The last three end it.
-type Event interface{ isEvent() }
-
-// HeadEvent carries the status and header fields of the answer.
-type HeadEvent struct {
-	Status int
-	Header http.Header
-}
-
-// DataEvent carries the next bytes of the answer, without gaps or overlaps.
-type DataEvent struct{ Payload []byte }
-
-// EndEvent says that the answer is whole.
-type EndEvent struct{ Length int64 }
-
-// RefusedEvent says that the sidecar will not deliver the answer.
-type RefusedEvent struct {
-	Reason     outcome.Reason
-	MayHaveRun bool
-}
-
-// BrokenEvent says that the link broke; what became of the attempt is open.
-type BrokenEvent struct{}
-
-func (HeadEvent) isEvent()    {}
-func (DataEvent) isEvent()    {}
-func (EndEvent) isEvent()     {}
-func (RefusedEvent) isEvent() {}
-func (BrokenEvent) isEvent()  {}
-
 // incomingLimit bounds the bytes that wait in one exchange; a sidecar that
 // respects the acknowledgement window stays far below.
 const incomingLimit = 4 << 20
@@ -51,7 +19,7 @@
 
 	mu sync.Mutex
 	// events waiting to be read; pending counts their payload bytes.
-	events  []Event
+	events  []transport.Event
 	pending int
 	// ready holds a token when events may be waiting.
 	ready chan struct{}
@@ -66,7 +34,7 @@
 }
 
 // Next waits for the next event.
-func (x *Exchange) Next(ctx context.Context) (Event, error) {
+func (x *Exchange) Next(ctx context.Context) (transport.Event, error) {
 	for {
 		if e := x.take(); e != nil {
 			return e, nil
@@ -79,7 +47,7 @@
 	}
 }
 
-func (x *Exchange) take() Event {
+func (x *Exchange) take() transport.Event {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if len(x.events) == 0 {
@@ -87,28 +55,28 @@
 	}
 	e := x.events[0]
 	x.events = x.events[1:]
-	if d, ok := e.(DataEvent); ok {
+	if d, ok := e.(transport.Data); ok {
 		x.pending -= len(d.Payload)
 	}
 	return e
 }
 
 // push adds an event; what follows a final event is dropped as late.
-func (x *Exchange) push(e Event) {
+func (x *Exchange) push(e transport.Event) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.finished {
 		return
 	}
 	switch k := e.(type) {
-	case HeadEvent:
+	case transport.Head:
 		if x.headSeen {
 			return
 		}
 		x.headSeen = true
-	case DataEvent:
+	case transport.Data:
 		x.pending += len(k.Payload)
-	case EndEvent, RefusedEvent, BrokenEvent:
+	case transport.End, transport.Refused, transport.Broken:
 		x.finished = true
 	}
 	x.events = append(x.events, e)
@@ -131,9 +99,9 @@
 	x.mu.Unlock()
 	switch {
 	case skip < 0 || flooded:
-		x.push(BrokenEvent{})
+		x.push(transport.Broken{})
 	case skip < size:
-		x.push(DataEvent{Payload: d.GetPayload()[skip:]})
+		x.push(transport.Data{Payload: d.GetPayload()[skip:]})
 	}
 }
 
@@ -143,10 +111,10 @@
 	whole := x.expected == length && x.headSeen
 	x.mu.Unlock()
 	if whole {
-		x.push(EndEvent{Length: length})
+		x.push(transport.End{Length: length})
 		return
 	}
-	x.push(BrokenEvent{})
+	x.push(transport.Broken{})
 }
 
 // Acknowledge tells the sidecar that bytes before the offset are not needed
--- a/internal/connection/sidecar/exchange_test.go
+++ b/internal/connection/sidecar/exchange_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
+	"github.com/cicadareel/cicadareel/internal/request/transport"
 )
 
 func TestSidecar(t *testing.T) {
@@ -18,7 +19,7 @@
 var _ = Describe("an exchange", func() {
 	var x *Exchange
 	data := func(offset int64, text string) { x.data(&wire.Data{Offset: offset, Payload: []byte(text)}) }
-	expectNext := func(want ...Event) {
+	expectNext := func(want ...transport.Event) {
 		GinkgoHelper()
 		for _, w := range want {
 			got, err := x.Next(context.Background())
@@ -30,7 +31,7 @@
 
 	BeforeEach(func() {
 		x = newExchange(nil, &wire.AttemptId{RequestId: "r", Number: 1}, 0)
-		x.push(HeadEvent{Status: 200})
+		x.push(transport.Head{Status: 200})
 	})
 
 	It("drops repeated bytes and keeps the rest", func() {
@@ -38,25 +39,25 @@
 		data(0, "abc")
 		data(2, "cde")
 		x.end(5)
-		expectNext(HeadEvent{Status: 200}, DataEvent{[]byte("abc")}, DataEvent{[]byte("de")}, EndEvent{Length: 5})
+		expectNext(transport.Head{Status: 200}, transport.Data{Payload: []byte("abc")}, transport.Data{Payload: []byte("de")}, transport.End{Length: 5})
 	})
 
 	It("breaks at a gap", func() {
 		data(0, "abc")
 		data(4, "e")
-		expectNext(HeadEvent{Status: 200}, DataEvent{[]byte("abc")}, BrokenEvent{})
+		expectNext(transport.Head{Status: 200}, transport.Data{Payload: []byte("abc")}, transport.Broken{})
 	})
 
 	It("breaks at an end that comes before all bytes", func() {
 		data(0, "abc")
 		x.end(5)
-		expectNext(HeadEvent{Status: 200}, DataEvent{[]byte("abc")}, BrokenEvent{})
+		expectNext(transport.Head{Status: 200}, transport.Data{Payload: []byte("abc")}, transport.Broken{})
 	})
 
 	It("drops what comes after its last event", func() {
-		x.push(RefusedEvent{Reason: "held"})
+		x.push(transport.Refused{Reason: "held"})
 		data(0, "late")
 		x.end(4)
-		expectNext(HeadEvent{Status: 200}, RefusedEvent{Reason: "held"})
+		expectNext(transport.Head{Status: 200}, transport.Refused{Reason: "held"})
 	})
 })
--- a/internal/connection/sidecar/link.go
+++ b/internal/connection/sidecar/link.go
@@ -15,9 +15,10 @@
 
 	"github.com/cicadareel/cicadareel/internal/connection/peer"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
-	"github.com/cicadareel/cicadareel/internal/process/events"
-	"github.com/cicadareel/cicadareel/internal/process/metrics"
-	"github.com/cicadareel/cicadareel/internal/request/outcome"
+	"github.com/cicadareel/cicadareel/internal/events"
+	"github.com/cicadareel/cicadareel/internal/metrics"
+	"github.com/cicadareel/cicadareel/internal/outcome"
+	"github.com/cicadareel/cicadareel/internal/request/transport"
 )
 
 const (
@@ -208,7 +209,7 @@
 	k.observer.LinkDown()
 	k.log.Info(events.LinkDown, events.Fields{"endpoint": k.endpoint, "inFlight": len(broken)})
 	for _, x := range broken {
-		x.push(BrokenEvent{})
+		x.push(transport.Broken{})
 	}
 }
 
@@ -249,7 +250,7 @@
 	switch b := f.GetKind().(type) {
 	case *wire.SidecarFrame_Head:
 		if x := k.find(b.Head.GetId()); x != nil {
-			x.push(HeadEvent{Status: int(b.Head.GetStatus()), Header: headerFromWire(b.Head.GetHeaders())})
+			x.push(transport.Head{Status: int(b.Head.GetStatus()), Header: headerFromWire(b.Head.GetHeaders())})
 		}
 	case *wire.SidecarFrame_Data:
 		if x := k.find(b.Data.GetId()); x != nil {
@@ -261,7 +262,7 @@
 		}
 	case *wire.SidecarFrame_Refusal:
 		if x := k.find(b.Refusal.GetId()); x != nil {
-			x.push(RefusedEvent{Reason: outcome.Reason(b.Refusal.GetReason()), MayHaveRun: b.Refusal.GetMayHaveRun()})
+			x.push(transport.Refused{Reason: outcome.Reason(b.Refusal.GetReason()), MayHaveRun: b.Refusal.GetMayHaveRun()})
 		}
 	}
 }
--- /dev/null
+++ b/internal/events/events.go
@@ -0,0 +1,156 @@
+// Package events defines the numbered log events. docs/EVENTS.md is their
+// catalogue.
+package events
+
+import (
+	"io"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Event is the number of a log event. Numbers are never reused.
+type Event int
+
+// Log events.
+const (
+	ProcessStarted      Event = 100
+	ProcessStopping     Event = 101
+	ProcessStopped      Event = 102
+	ServeFailed         Event = 103
+	BundleAdopted       Event = 200
+	BundleRefused       Event = 201
+	OrderAdopted        Event = 202
+	OrderRefused        Event = 203
+	PlatformUnreachable Event = 204
+	PlatformReachable   Event = 205
+	LinkUp              Event = 300
+	LinkDown            Event = 301
+	PeerMisbehaved      Event = 302
+	RowIgnored          Event = 206
+	HistoryLost         Event = 207
+	FeedSilent          Event = 208
+	EndpointAdded       Event = 209
+	EndpointRemoved     Event = 210
+	EndpointKept        Event = 211
+	EndpointDown        Event = 212
+	DomainHeld          Event = 213
+	DomainReleased      Event = 214
+	PeersChanged        Event = 215
+	SettingsReloaded    Event = 104
+	SettingsRefused     Event = 105
+	RequestUnknown      Event = 400
+	RequestCut          Event = 401
+	RequestInvalid      Event = 402
+	RequestRefused      Event = 403
+	RequestRetried      Event = 404
+	RequestAnswered     Event = 405
+	EventsDisordered    Event = 406
+	GroupBroken         Event = 503
+	GroupOpen           Event = 504
+	EndpointUnready     Event = 501
+	EndpointReady       Event = 502
+	MapActivated        Event = 600
+	MapSwitchFailed     Event = 601
+	MapLeaseTaken       Event = 602
+	MapLeaseLost        Event = 603
+	MapRepaired         Event = 604
+)
+
+var texts = map[Event]string{
+	ProcessStarted:      "process started",
+	ProcessStopping:     "graceful shutdown begins",
+	ProcessStopped:      "process stopped",
+	ServeFailed:         "server failed",
+	BundleAdopted:       "bundle adopted",
+	BundleRefused:       "bundle refused",
+	OrderAdopted:        "order adopted",
+	OrderRefused:        "order refused",
+	PlatformUnreachable: "platform unreachable",
+	PlatformReachable:   "platform reachable again",
+	LinkUp:              "link to sidecar up",
+	LinkDown:            "link to sidecar down",
+	PeerMisbehaved:      "malformed message from peer",
+	SettingsReloaded:    "settings reloaded",
+	SettingsRefused:     "settings refused",
+	RowIgnored:          "row of the store ignored",
+	HistoryLost:         "store lost its history, reading anew",
+	FeedSilent:          "feed of the store failed",
+	EndpointAdded:       "endpoint added",
+	EndpointRemoved:     "endpoint removed",
+	EndpointKept:        "lapsed endpoint kept for now",
+	EndpointDown:        "endpoint taken for gone",
+	DomainHeld:          "failure domain held",
+	DomainReleased:      "failure domain released",
+	PeersChanged:        "known peers changed",
+	RequestUnknown:      "request outcome unknown",
+	RequestCut:          "answer to caller cut",
+	RequestInvalid:      "request invalid",
+	RequestRefused:      "request refused",
+	RequestRetried:      "request tried again",
+	RequestAnswered:     "request answered",
+	EventsDisordered:    "endpoint sent events out of order",
+	GroupBroken:         "group of ranks broken",
+	GroupOpen:           "group of ranks open",
+	EndpointUnready:     "endpoint load report missing",
+	EndpointReady:       "endpoint load report received",
+	MapActivated:        "expert map activated",
+	MapSwitchFailed:     "expert map switch failed",
+	MapLeaseTaken:       "expert map lease taken",
+	MapLeaseLost:        "expert map lease lost",
+	MapRepaired:         "unfinished expert map switch undone",
+}
+
+// Fields are the typed values that accompany an event.
+type Fields = logrus.Fields
+
+// Log writes numbered events. Writing never blocks: lines that find the sink
+// full are dropped and counted.
+type Log struct {
+	entry *logrus.Entry
+	sink  *sink
+}
+
+// NewLog returns a log for one process on standard output. The level must be
+// valid.
+func NewLog(level, instance string) *Log { return NewLogTo(os.Stdout, level, instance) }
+
+// NewLogTo returns a log on another writer.
+func NewLogTo(w io.Writer, level, instance string) *Log {
+	l := logrus.New()
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		parsed = logrus.InfoLevel
+	}
+	out := newSink(w)
+	l.SetOutput(out)
+	l.SetLevel(parsed)
+	l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	return &Log{entry: l.WithField("instance", instance), sink: out}
+}
+
+// Dropped returns the number of lines that were not written.
+func (l *Log) Dropped() int64 { return l.sink.dropped.Load() }
+
+// Close writes the lines that wait, for a bounded time.
+func (l *Log) Close() { l.sink.close() }
+
+// Text returns the fixed text of an event.
+func Text(e Event) string { return texts[e] }
+
+// All returns every event with its text.
+func All() map[Event]string { return texts }
+
+func (l *Log) with(e Event, fields Fields) *logrus.Entry {
+	return l.entry.WithField("event", int(e)).WithFields(fields)
+}
+
+// Debug writes an event of interest to developers.
+func (l *Log) Debug(e Event, fields Fields) { l.with(e, fields).Debug(texts[e]) }
+
+// Info writes an event of normal operation.
+func (l *Log) Info(e Event, fields Fields) { l.with(e, fields).Info(texts[e]) }
+
+// Warn writes an event that an operator may have to act on.
+func (l *Log) Warn(e Event, fields Fields) { l.with(e, fields).Warn(texts[e]) }
--- a/internal/process/identity/identity.go
+++ b/internal/identity/identity.go
@@ -12,8 +12,6 @@
 	"github.com/samber/oops"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
-
-	"github.com/cicadareel/cicadareel/internal/process/settings"
 )
 
 // serverName is the name that every process certificate carries.
@@ -27,9 +25,18 @@
 
 func (e *NoCertificateError) Error() string { return "no CA certificate in " + e.Path }
 
+// Files names the files for mutual TLS between processes.
+type Files struct {
+	// Insecure turns TLS off; it must be said explicitly.
+	Insecure bool   `toml:"insecure"`
+	CAFile   string `toml:"caFile"`
+	CertFile string `toml:"certFile"`
+	KeyFile  string `toml:"keyFile"`
+}
+
 // Identity holds the credentials of this process.
 type Identity struct {
-	files settings.TLS
+	files Files
 
 	mu sync.Mutex
 	// checked is the time of the last look at the files.
@@ -40,7 +47,7 @@
 }
 
 // NewIdentity loads the credentials named in the settings.
-func NewIdentity(files settings.TLS) (*Identity, error) {
+func NewIdentity(files Files) (*Identity, error) {
 	i := &Identity{files: files}
 	if files.Insecure {
 		return i, nil
--- a/internal/measure/network.go
+++ b/internal/measure/network.go
@@ -17,10 +17,10 @@
 	"github.com/cicadareel/cicadareel/internal/connection/peer"
 	"github.com/cicadareel/cicadareel/internal/connection/sidecar"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
-	"github.com/cicadareel/cicadareel/internal/process/events"
-	"github.com/cicadareel/cicadareel/internal/process/metrics"
+	"github.com/cicadareel/cicadareel/internal/events"
+	"github.com/cicadareel/cicadareel/internal/metrics"
+	"github.com/cicadareel/cicadareel/internal/outcome"
 	"github.com/cicadareel/cicadareel/internal/request/gate"
-	"github.com/cicadareel/cicadareel/internal/request/outcome"
 )
 
 // counter counts the bytes of all connections that it opens, both ways.
--- a/internal/measure/policies_test.go
+++ b/internal/measure/policies_test.go
@@ -12,9 +12,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cicadareel/cicadareel/internal/outcome"
 	"github.com/cicadareel/cicadareel/internal/request/choice"
 	"github.com/cicadareel/cicadareel/internal/request/gate"
-	"github.com/cicadareel/cicadareel/internal/request/outcome"
 	"github.com/cicadareel/cicadareel/internal/request/retry"
 )
 
--- a/internal/process/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -14,7 +15,7 @@
 	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
-	"github.com/cicadareel/cicadareel/internal/request/outcome"
+	"github.com/cicadareel/cicadareel/internal/outcome"
 )
 
 // Metrics holds the instruments. Each reason has a prepared attribute set, so
@@ -30,8 +31,15 @@
 	reasons  map[outcome.Reason]metric.AddOption
 	badFrame metric.AddOption
 	forged   metric.AddOption
+	// took and firstByte are in seconds.
+	took      metric.Float64Histogram
+	firstByte metric.Float64Histogram
 }
 
+// latencyBounds are the histograms' bounds in seconds: fine around the first
+// token's objectives, coarse up to the longest timeouts.
+var latencyBounds = []float64{0.01, 0.03, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8, 16}
+
 // NewMetrics registers the instruments of one process.
 func NewMetrics() (*Metrics, error) {
 	m := &Metrics{registry: prometheus.NewRegistry(), reasons: map[outcome.Reason]metric.AddOption{}}
@@ -44,6 +52,8 @@
 	m.refusals = m.counter("cicadareel_refusals", "Refusals by reason.")
 	m.retries = m.counter("cicadareel_retries", "Further attempts by the reason for them.")
 	m.frames = m.counter("cicadareel_rejected_messages", "Messages rejected as malformed or forged.")
+	m.took = m.histogram("cicadareel_request_seconds", "Time to the end of whole answers.")
+	m.firstByte = m.histogram("cicadareel_first_byte_seconds", "Time to the first byte of whole answers.")
 	for _, r := range outcome.Reasons() {
 		m.reasons[r] = metric.WithAttributeSet(attribute.NewSet(attribute.String("reason", string(r))))
 	}
@@ -59,6 +69,11 @@
 	return c
 }
 
+func (m *Metrics) histogram(name, help string) metric.Float64Histogram {
+	h, _ := m.meter.Float64Histogram(name, metric.WithDescription(help), metric.WithExplicitBucketBoundaries(latencyBounds...))
+	return h
+}
+
 // Gauge registers an observed value.
 func (m *Metrics) Gauge(name, help string, read func() int64) {
 	_, _ = m.meter.Int64ObservableGauge(name, metric.WithDescription(help),
@@ -68,8 +83,12 @@
 		}))
 }
 
-// Answered counts a request answered whole.
-func (m *Metrics) Answered() { m.answered.Add(context.Background(), 1) }
+// Answered counts a request answered whole and the times that it took.
+func (m *Metrics) Answered(took, firstByte time.Duration) {
+	m.answered.Add(context.Background(), 1)
+	m.took.Record(context.Background(), took.Seconds())
+	m.firstByte.Record(context.Background(), firstByte.Seconds())
+}
 
 // Refused counts a refusal.
 func (m *Metrics) Refused(r outcome.Reason) { m.refusals.Add(context.Background(), 1, m.reasons[r]) }
--- a/internal/request/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -52,6 +52,10 @@
 	SealUnanswered      Reason = "sealUnanswered"
 	Canceled            Reason = "canceled"
 	ShuttingDown        Reason = "shuttingDown"
+	Shed                Reason = "shed"
+	EndpointFailed      Reason = "endpointFailed"
+	BadAnswer           Reason = "badAnswer"
+	EventsOutOfOrder    Reason = "eventsOutOfOrder"
 )
 
 // Reasons lists every reason, for registering counters.
@@ -61,6 +65,7 @@
 		StaleView, QueueFull, DeadlineTooShort, WrongIncarnation, OldEpoch, Sealed,
 		AlreadyAdmitted, NotReady, ClaimStoreDown, KeyReused, AnswerNotKept,
 		RetryBudgetSpent, EndpointUnreachable, EndpointBroke, ConnectionLost,
-		SealUnanswered, Canceled, ShuttingDown,
+		SealUnanswered, Canceled, ShuttingDown, Shed, EndpointFailed, BadAnswer,
+		EventsOutOfOrder,
 	}
 }
--- a/internal/process/common.go
+++ b/internal/process/common.go
@@ -15,9 +15,9 @@
 	"github.com/cicadareel/cicadareel/internal/connection/peer"
 	"github.com/cicadareel/cicadareel/internal/connection/platform"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
-	"github.com/cicadareel/cicadareel/internal/process/events"
-	"github.com/cicadareel/cicadareel/internal/process/identity"
-	"github.com/cicadareel/cicadareel/internal/process/metrics"
+	"github.com/cicadareel/cicadareel/internal/events"
+	"github.com/cicadareel/cicadareel/internal/identity"
+	"github.com/cicadareel/cicadareel/internal/metrics"
 	"github.com/cicadareel/cicadareel/internal/process/settings"
 	"github.com/cicadareel/cicadareel/internal/version/view"
 )
@@ -65,6 +65,7 @@
 	c.Members = platform.NewMembers(ctx, c.Platform, s.Seeds)
 	c.Poller = platform.NewPoller(ctx, platform.NewIntent(c.Platform, c.Platform), c.View, c.Members, c.Log)
 	c.Spread = peer.NewSpread(ctx, c.self(), c.View, c.Members, c.clients, c.Log, m)
+	m.Gauge("cicadareel_log_lines_dropped", "Log lines not written.", c.Log.Dropped)
 	m.Gauge("cicadareel_bundle_version", "Version of the bundle in force.", func() int64 { return int64(c.View.Version()) })
 	return c, nil
 }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -15,10 +15,11 @@
 	"github.com/cicadareel/cicadareel/internal/connection/caller"
 	"github.com/cicadareel/cicadareel/internal/connection/operator"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
+	"github.com/cicadareel/cicadareel/internal/events"
 	"github.com/cicadareel/cicadareel/internal/process"
-	"github.com/cicadareel/cicadareel/internal/process/events"
 	"github.com/cicadareel/cicadareel/internal/process/settings"
 	"github.com/cicadareel/cicadareel/internal/request/claim"
+	"github.com/cicadareel/cicadareel/internal/request/retry"
 )
 
 const (
@@ -86,7 +87,15 @@
 		return oops.In("entry").Wrap(err)
 	}
 	c := e.common
-	service := caller.NewService(c.View.Bundle, e.fleet, e.claims, c.Log, c.Metrics)
+	service := caller.NewService(caller.Parts{
+		Bundles: c.View.Bundle,
+		Fleet:   e.fleet,
+		Claims:  e.claims,
+		Dialect: caller.ProblemDialect{},
+		Budgets: retry.NewBudgets(retry.DefaultTerms()),
+		Log:     c.Log,
+		Metrics: c.Metrics,
+	})
 	e.callers = &http.Server{Handler: service, ReadHeaderTimeout: headerTimeout}
 	go func() { _ = e.callers.Serve(listener) }()
 	return nil
--- a/internal/process/entry/fleet.go
+++ b/internal/process/entry/fleet.go
@@ -5,13 +5,14 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cicadareel/cicadareel/internal/connection/caller"
 	"github.com/cicadareel/cicadareel/internal/connection/peer"
 	"github.com/cicadareel/cicadareel/internal/connection/platform"
 	"github.com/cicadareel/cicadareel/internal/connection/sidecar"
-	"github.com/cicadareel/cicadareel/internal/process/events"
-	"github.com/cicadareel/cicadareel/internal/process/metrics"
+	"github.com/cicadareel/cicadareel/internal/events"
+	"github.com/cicadareel/cicadareel/internal/metrics"
 	"github.com/cicadareel/cicadareel/internal/process/settings"
 	"github.com/cicadareel/cicadareel/internal/request/choice"
 	"github.com/cicadareel/cicadareel/internal/version/view"
@@ -80,12 +81,12 @@
 		return caller.Target{}, false
 	}
 	n := f.nodes[m.Name]
-	return caller.Target{Member: m, Link: n.link}, true
+	return caller.Target{Member: m, Way: caller.Gated{Link: n.link}}, true
 }
 
 // Find implements caller.Fleet. An endpoint outside the subset gets a link of
 // its own.
-func (f *fleet) Find(endpoint string) (caller.Target, bool) {
+func (f *fleet) Find(endpoint string) (*sidecar.Link, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := f.nodes[endpoint]
@@ -93,11 +94,14 @@
 		n = f.visit(endpoint)
 	}
 	if n == nil {
-		return caller.Target{}, false
+		return nil, false
 	}
-	return caller.Target{Member: n.member, Link: n.link}, true
+	return n.link, true
 }
 
+// Backlog implements caller.Fleet. Gates do not say when they open.
+func (f *fleet) Backlog(string) time.Duration { return 0 }
+
 func (f *fleet) visit(endpoint string) *node {
 	if n := f.visited[endpoint]; n != nil {
 		return n
--- a/internal/process/settings/check.go
+++ b/internal/process/settings/check.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/cicadareel/cicadareel/internal/identity"
 	"github.com/cicadareel/cicadareel/pkg/bundle"
 )
 
@@ -63,7 +64,7 @@
 	}
 }
 
-func (c *checker) checkTLS(t *TLS) {
+func (c *checker) checkTLS(t *identity.Files) {
 	files := t.CAFile != "" && t.CertFile != "" && t.KeyFile != ""
 	none := t.CAFile == "" && t.CertFile == "" && t.KeyFile == ""
 	c.require(t.Insecure || files, "tls", "set caFile, certFile and keyFile, or insecure = true")
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -11,6 +11,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/cicadareel/cicadareel/internal/identity"
 	"github.com/cicadareel/cicadareel/internal/stricttoml"
 	"github.com/cicadareel/cicadareel/pkg/bundle"
 )
@@ -50,8 +51,8 @@
 	LogLevel string   `toml:"logLevel"`
 	Platform Platform `toml:"platform"`
 	// OperatorKeys are trusted public keys as "name:base64".
-	OperatorKeys []string `toml:"operatorKeys"`
-	TLS          TLS      `toml:"tls"`
+	OperatorKeys []string       `toml:"operatorKeys"`
+	TLS          identity.Files `toml:"tls"`
 	// OperatorName names the key that the operators' client signs with.
 	OperatorName string `toml:"operatorName"`
 	// OperatorKeyFile holds that private key.
@@ -67,15 +68,6 @@
 	InstanceListAddress netip.AddrPort `toml:"instanceListAddress"`
 }
 
-// TLS names the files for mutual TLS between processes.
-type TLS struct {
-	// Insecure turns TLS off; it must be said explicitly.
-	Insecure bool   `toml:"insecure"`
-	CAFile   string `toml:"caFile"`
-	CertFile string `toml:"certFile"`
-	KeyFile  string `toml:"keyFile"`
-}
-
 // InvalidError lists every problem found in a settings file.
 type InvalidError struct{ Problems []string }
 
--- a/internal/process/sidecar/experts.go
+++ b/internal/process/sidecar/experts.go
@@ -13,7 +13,7 @@
 	"github.com/cicadareel/cicadareel/internal/connection/endpoint"
 	"github.com/cicadareel/cicadareel/internal/connection/platform"
 	"github.com/cicadareel/cicadareel/internal/connection/rank"
-	"github.com/cicadareel/cicadareel/internal/process/events"
+	"github.com/cicadareel/cicadareel/internal/events"
 	"github.com/cicadareel/cicadareel/internal/version/expertmap"
 	"github.com/cicadareel/cicadareel/internal/version/expertplan"
 	"github.com/cicadareel/cicadareel/pkg/bundle"
--- a/internal/proof/ensemble_test.go
+++ b/internal/proof/ensemble_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/ed25519"
 	"fmt"
+	"github.com/cicadareel/cicadareel/internal/table"
 	"strings"
 	"time"
 
@@ -14,7 +15,7 @@
 	"github.com/cicadareel/cicadareel/internal/connection/peer"
 	"github.com/cicadareel/cicadareel/internal/connection/platform"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
-	"github.com/cicadareel/cicadareel/internal/process/metrics"
+	"github.com/cicadareel/cicadareel/internal/metrics"
 	"github.com/cicadareel/cicadareel/internal/standin"
 	"github.com/cicadareel/cicadareel/internal/version/view"
 	"github.com/cicadareel/cicadareel/pkg/bundle"
@@ -44,14 +45,14 @@
 	cut bool
 }
 
-func (r *reach) Get(ctx context.Context, key string) (platform.Row, error) {
+func (r *reach) Get(ctx context.Context, key string) (table.Row, error) {
 	if r.cut {
-		return platform.Row{}, standin.ErrOutage
+		return table.Row{}, standin.ErrOutage
 	}
 	return r.Table.Get(ctx, key)
 }
 
-func (r *reach) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+func (r *reach) Scan(ctx context.Context, prefix string) ([]table.Row, error) {
 	if r.cut {
 		return nil, standin.ErrOutage
 	}
--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cicadareel/cicadareel/internal/request/outcome"
+	"github.com/cicadareel/cicadareel/internal/outcome"
 	"github.com/cicadareel/cicadareel/internal/standin"
 )
 
--- a/internal/proof/rig_test.go
+++ b/internal/proof/rig_test.go
@@ -24,12 +24,13 @@
 	"github.com/cicadareel/cicadareel/internal/connection/peer"
 	"github.com/cicadareel/cicadareel/internal/connection/sidecar"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
-	"github.com/cicadareel/cicadareel/internal/process/events"
-	"github.com/cicadareel/cicadareel/internal/process/metrics"
+	"github.com/cicadareel/cicadareel/internal/events"
+	"github.com/cicadareel/cicadareel/internal/metrics"
+	"github.com/cicadareel/cicadareel/internal/outcome"
 	"github.com/cicadareel/cicadareel/internal/request/choice"
 	"github.com/cicadareel/cicadareel/internal/request/claim"
 	"github.com/cicadareel/cicadareel/internal/request/gate"
-	"github.com/cicadareel/cicadareel/internal/request/outcome"
+	"github.com/cicadareel/cicadareel/internal/request/retry"
 	"github.com/cicadareel/cicadareel/internal/standin"
 	"github.com/cicadareel/cicadareel/pkg/bundle"
 )
@@ -283,7 +284,15 @@
 		d.tables[group] = choice.NewTable(members, "a")
 	}
 	d.claims = claim.NewStore(ctx, r.table)
-	d.service = caller.NewService(func() *bundle.Bundle { return r.bundle }, d, d.claims, quiet, r.metrics)
+	d.service = caller.NewService(caller.Parts{
+		Bundles: func() *bundle.Bundle { return r.bundle },
+		Fleet:   d,
+		Claims:  d.claims,
+		Dialect: caller.ProblemDialect{},
+		Budgets: retry.NewBudgets(retry.DefaultTerms()),
+		Log:     quiet,
+		Metrics: r.metrics,
+	})
 	r.doors = append(r.doors, d)
 	return d
 }
@@ -293,11 +302,13 @@
 	if m == nil {
 		return caller.Target{}, false
 	}
-	return caller.Target{Member: m, Link: d.links[m.Name]}, true
+	return caller.Target{Member: m, Way: caller.Gated{Link: d.links[m.Name]}}, true
 }
 
-func (d *door) Find(name string) (caller.Target, bool) {
-	return caller.Target{Member: d.members[name], Link: d.links[name]}, true
+func (d *door) Backlog(string) time.Duration { return 0 }
+
+func (d *door) Find(name string) (*sidecar.Link, bool) {
+	return d.links[name], true
 }
 
 func (r *rig) close() {
--- a/internal/request/choice/member.go
+++ b/internal/request/choice/member.go
@@ -23,6 +23,9 @@
 	// last gate state came.
 	own         atomic.Int32
 	ownAtReport atomic.Int32
+	// Warmup bounds the requests to a cold endpoint that no gate protects; nil
+	// if a gate does.
+	Warmup *Warmup
 }
 
 // NewMember returns a member that is not eligible before its first gate state.
@@ -52,9 +55,12 @@
 func (m *Member) End() { m.own.Add(-1) }
 
 func (m *Member) eligible() bool {
-	return m.open.Load() && m.up.Load() && !m.held.Load()
+	return m.open.Load() && m.up.Load() && !m.held.Load() && (m.Warmup == nil || m.Warmup.Ready())
 }
 
+// Own returns this entry's requests at the endpoint.
+func (m *Member) Own() int { return int(m.own.Load()) }
+
 // working estimates the requests at the endpoint now: the last report and the
 // change in own requests since.
 func (m *Member) working() float64 {
--- a/internal/request/choice/table.go
+++ b/internal/request/choice/table.go
@@ -31,6 +31,9 @@
 	// Prefix hashes the start of the prompt; used if HasPrefix.
 	Prefix    uint64
 	HasPrefix bool
+	// Even asks for the least loaded member of all, wherever it is. Ranks in
+	// lock-step need it: each step is as slow as its slowest rank.
+	Even bool
 
 	avoid  [maxAvoid]*Member
 	avoids int
@@ -92,6 +95,9 @@
 	if len(t.members) == 0 {
 		return nil
 	}
+	if q.Even {
+		return t.scan(q)
+	}
 	if q.HasPrefix {
 		if m := t.preferred(q); m != nil {
 			return m
@@ -169,10 +175,13 @@
 	return nil
 }
 
-// scan returns the least loaded eligible member of all.
+// scan returns the least loaded eligible member of all. It starts anywhere, so
+// that entries do not all take the same one of several equals.
 func (t *Table) scan(q *Query) *Member {
 	var best *Member
-	for _, m := range t.members {
+	start := rand.IntN(len(t.members))
+	for i := range t.members {
+		m := t.members[(start+i)%len(t.members)]
 		if q.allows(m) && (best == nil || m.load() < best.load()) {
 			best = m
 		}
--- a/internal/request/claim/claim.go
+++ b/internal/request/claim/claim.go
@@ -11,7 +11,7 @@
 
 	"github.com/samber/oops"
 
-	"github.com/cicadareel/cicadareel/internal/connection/platform"
+	"github.com/cicadareel/cicadareel/internal/table"
 	"github.com/cicadareel/cicadareel/pkg/bundle"
 )
 
@@ -60,9 +60,16 @@
 
 func (*OverloadedError) Error() string { return "too many claims are waiting" }
 
+// Table is what the store needs of the platform's table.
+type Table interface {
+	Get(ctx context.Context, key string) (table.Row, error)
+	// Commit applies each write whose condition holds, all in one transaction.
+	Commit(ctx context.Context, writes []table.Write) ([]table.WriteResult, error)
+}
+
 // Store writes claims, several to a transaction.
 type Store struct {
-	table   platform.Table
+	table   Table
 	pending chan *pending
 	done    sync.WaitGroup
 }
@@ -80,7 +87,7 @@
 }
 
 // NewStore starts writing batches until ctx ends.
-func NewStore(ctx context.Context, t platform.Table) *Store {
+func NewStore(ctx context.Context, t Table) *Store {
 	s := &Store{table: t, pending: make(chan *pending, pendingLimit)}
 	s.done.Go(func() { s.batchLoop(ctx) })
 	return s
@@ -155,13 +162,13 @@
 func (s *Store) commit(ctx context.Context, batch []*pending) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	writes := make([]platform.Write, 0, len(batch))
+	writes := make([]table.Write, 0, len(batch))
 	for _, p := range batch {
 		value, err := json.Marshal(p.claim)
 		if err != nil {
 			value = nil
 		}
-		writes = append(writes, platform.Write{Key: p.key, Value: value, Expect: p.expect})
+		writes = append(writes, table.Write{Key: p.key, Value: value, Expect: p.expect})
 	}
 	results, err := s.table.Commit(ctx, writes)
 	for i, p := range batch {
@@ -186,7 +193,7 @@
 	p.settle(row)
 }
 
-func (p *pending) settle(row platform.Row) {
+func (p *pending) settle(row table.Row) {
 	if row.Revision == 0 {
 		p.result <- result{err: &StoreDownError{Cause: &AbsentError{}}}
 		return
--- a/internal/request/gate/gate.go
+++ b/internal/request/gate/gate.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/cicadareel/cicadareel/internal/request/outcome"
+	"github.com/cicadareel/cicadareel/internal/outcome"
 )
 
 // Attempt describes one attempt at a request as it reaches the gate.
--- a/internal/request/gate/gate_test.go
+++ b/internal/request/gate/gate_test.go
@@ -11,8 +11,8 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/cicadareel/cicadareel/internal/outcome"
 	"github.com/cicadareel/cicadareel/internal/request/gate"
-	"github.com/cicadareel/cicadareel/internal/request/outcome"
 )
 
 var suite *testing.T
--- a/internal/request/gate/ledger.go
+++ b/internal/request/gate/ledger.go
@@ -1,6 +1,6 @@
 package gate
 
-import "github.com/cicadareel/cicadareel/internal/request/outcome"
+import "github.com/cicadareel/cicadareel/internal/outcome"
 
 const (
 	// attemptEpochs is the age in epochs up to which an attempt is admitted.
--- a/internal/request/retry/retry.go
+++ b/internal/request/retry/retry.go
@@ -3,12 +3,13 @@
 
 import (
 	"sync"
+	"time"
 
-	"github.com/cicadareel/cicadareel/internal/request/outcome"
+	"github.com/cicadareel/cicadareel/internal/outcome"
 )
 
 const (
-	// MaxAttempts bounds the attempts at one request.
+	// MaxAttempts bounds the attempts at one request whose route sets no bound.
 	MaxAttempts = 3
 	// budgetRatio is the share of requests that may be retried.
 	budgetRatio = 0.1
@@ -16,27 +17,90 @@
 	budgetReserve = 32
 )
 
-// Budget bounds the retries that put load on endpoints to a share of the
-// requests. It is safe for concurrent use.
+// Terms say how many retries an entry may add to the load of one group.
+type Terms struct {
+	// Ratio is the number of retries that each request earns.
+	Ratio float64
+	// Reserve bounds the retries that come all at once.
+	Reserve float64
+	// PerSecond is the number of retries that time alone earns.
+	PerSecond float64
+}
+
+// DefaultTerms are those of the product itself.
+func DefaultTerms() Terms { return Terms{Ratio: budgetRatio, Reserve: budgetReserve} }
+
+// SharedTerms splits the retries that all entries together may add in any
+// window between that many entries. Half of the slack is there at once, and
+// half comes back over a window, so that no window holds more than all of it.
+func SharedTerms(ratio, slack float64, window time.Duration, entries int) Terms {
+	own := slack / float64(max(1, entries))
+	return Terms{Ratio: ratio, Reserve: own / 2, PerSecond: own / 2 / window.Seconds()}
+}
+
+// Budgets holds a budget for each group. It is safe for concurrent use.
+type Budgets struct {
+	mu     sync.Mutex
+	terms  Terms
+	groups map[string]*Budget
+}
+
+// NewBudgets returns full budgets on the given terms.
+func NewBudgets(t Terms) *Budgets { return &Budgets{terms: t, groups: map[string]*Budget{}} }
+
+// SetTerms replaces the terms of all groups.
+func (b *Budgets) SetTerms(t Terms) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.terms = t
+	for _, g := range b.groups {
+		g.setTerms(t)
+	}
+}
+
+// Of returns the budget of a group.
+func (b *Budgets) Of(group string) *Budget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g := b.groups[group]
+	if g == nil {
+		g = &Budget{terms: b.terms, tokens: b.terms.Reserve, filled: time.Now()}
+		b.groups[group] = g
+	}
+	return g
+}
+
+// Budget bounds the retries that put load on the endpoints of one group. It is
+// safe for concurrent use.
 type Budget struct {
 	mu     sync.Mutex
+	terms  Terms
 	tokens float64
+	// filled is the time up to which PerSecond was added.
+	filled time.Time
 }
 
-// NewBudget returns a full budget.
-func NewBudget() *Budget { return &Budget{tokens: budgetReserve} }
+func (b *Budget) setTerms(t Terms) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.terms = t
+	b.tokens = min(b.tokens, t.Reserve)
+}
 
 // Earn notes a new request.
 func (b *Budget) Earn() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.tokens+budgetRatio, budgetReserve)
+	b.tokens = min(b.tokens+b.terms.Ratio, b.terms.Reserve)
 }
 
 // Spend takes one retry from the budget and reports whether it had one.
 func (b *Budget) Spend() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := time.Now()
+	b.tokens = min(b.tokens+now.Sub(b.filled).Seconds()*b.terms.PerSecond, b.terms.Reserve)
+	b.filled = now
 	if b.tokens < 1 {
 		return false
 	}
--- /dev/null
+++ b/internal/request/transport/transport.go
@@ -0,0 +1,63 @@
+// Package transport defines what an attempt at a request brings, whichever
+// transport carries it.
+package transport
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cicadareel/cicadareel/internal/outcome"
+)
+
+// Event is what an attempt brings: Head, Data, End, Failed, Refused or Broken.
+// The last four end it.
+type Event interface{ isEvent() }
+
+// Head carries the status and header fields of the answer.
+type Head struct {
+	Status int
+	Header http.Header
+}
+
+// Data carries the next bytes of the answer, without gaps or overlaps.
+type Data struct{ Payload []byte }
+
+// End says that the answer is whole.
+type End struct{ Length int64 }
+
+// Failed carries the whole answer of an endpoint that ran the request and
+// failed. It comes instead of Head.
+type Failed struct {
+	Head Head
+	Body []byte
+}
+
+// Refused says that the answer will not be delivered.
+type Refused struct {
+	Reason     outcome.Reason
+	MayHaveRun bool
+}
+
+// Broken says that the transport broke; what became of the attempt is open.
+type Broken struct{}
+
+func (Head) isEvent()    {}
+func (Data) isEvent()    {}
+func (End) isEvent()     {}
+func (Failed) isEvent()  {}
+func (Refused) isEvent() {}
+func (Broken) isEvent()  {}
+
+// Exchange is one attempt in progress.
+type Exchange interface {
+	// Next waits for the next event. The error is that of ctx.
+	Next(ctx context.Context) (Event, error)
+	// Acknowledge says that bytes before the offset are not needed any more.
+	Acknowledge(offset int64)
+	// Cancel ends the interest in the attempt.
+	Cancel()
+	// Close forgets an exchange that brought its final event.
+	Close()
+	// Idle reports whether no event is waiting.
+	Idle() bool
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"github.com/cicadareel/cicadareel/internal/table"
 	"io"
 	"net/http"
 	"strconv"
@@ -23,7 +24,7 @@
 		reply(w, rows, err)
 	})
 	mux.HandleFunc("POST /table/commit", func(w http.ResponseWriter, r *http.Request) {
-		var writes []platform.Write
+		var writes []table.Write
 		if !receive(w, r, &writes) {
 			return
 		}
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"github.com/cicadareel/cicadareel/internal/table"
 	"sort"
 	"strings"
 	"sync"
@@ -28,7 +29,7 @@
 // Table is an in-memory table service with objects and an instance list.
 type Table struct {
 	mu        sync.Mutex
-	rows      map[string]platform.Row
+	rows      map[string]table.Row
 	objects   map[string][]byte
 	instances []platform.Instance
 	lists     int
@@ -39,7 +40,7 @@
 
 // NewTable returns an empty platform.
 func NewTable() *Table {
-	return &Table{rows: map[string]platform.Row{}, objects: map[string][]byte{}}
+	return &Table{rows: map[string]table.Row{}, objects: map[string][]byte{}}
 }
 
 // SetFaults switches faults on and off.
@@ -74,30 +75,30 @@
 	return f, nil
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements table.Table.
+func (t *Table) Get(ctx context.Context, key string) (table.Row, error) {
 	if _, err := t.enter(ctx); err != nil {
-		return platform.Row{}, err
+		return table.Row{}, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reads++
 	row, ok := t.rows[key]
 	if !ok {
-		return platform.Row{Key: key, Value: json.RawMessage("null")}, nil
+		return table.Row{Key: key, Value: json.RawMessage("null")}, nil
 	}
 	return row, nil
 }
 
-// Scan implements platform.Table.
-func (t *Table) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+// Scan implements table.Table.
+func (t *Table) Scan(ctx context.Context, prefix string) ([]table.Row, error) {
 	if _, err := t.enter(ctx); err != nil {
 		return nil, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reads++
-	rows := []platform.Row{}
+	rows := []table.Row{}
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, row)
@@ -107,8 +108,8 @@
 	return rows, nil
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, writes []platform.Write) ([]platform.WriteResult, error) {
+// Commit implements table.Table.
+func (t *Table) Commit(ctx context.Context, writes []table.Write) ([]table.WriteResult, error) {
 	f, err := t.enter(ctx)
 	if err != nil {
 		return nil, err
@@ -120,19 +121,19 @@
 	return results, nil
 }
 
-func (t *Table) apply(writes []platform.Write) []platform.WriteResult {
+func (t *Table) apply(writes []table.Write) []table.WriteResult {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.writes++
-	results := make([]platform.WriteResult, 0, len(writes))
+	results := make([]table.WriteResult, 0, len(writes))
 	for _, w := range writes {
 		row := t.rows[w.Key]
 		applied := row.Revision == w.Expect
 		if applied {
-			row = platform.Row{Key: w.Key, Value: w.Value, Revision: w.Expect + 1}
+			row = table.Row{Key: w.Key, Value: w.Value, Revision: w.Expect + 1}
 			t.rows[w.Key] = row
 		}
-		results = append(results, platform.WriteResult{Applied: applied, Row: row})
+		results = append(results, table.WriteResult{Applied: applied, Row: row})
 	}
 	return results
 }
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -6,6 +6,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 	"strings"
 	"time"
 )
@@ -55,6 +56,16 @@
 	Experts *Experts `toml:"experts"`
 	// QueueLimit bounds the requests waiting in one sidecar; at least 0.
 	QueueLimit int `toml:"queueLimit"`
+	// NoPrefixCache says that the endpoints keep nothing of a prompt after its
+	// request.
+	NoPrefixCache bool `toml:"-"`
+	// ColdFor is how long an endpoint stays cold after its start; 0 if starts
+	// need no care. ColdPerSecond is the rate of requests that it bears then.
+	ColdFor       time.Duration `toml:"-"`
+	ColdPerSecond float64       `toml:"-"`
+	// Connections bounds the connections to one endpoint from all processes;
+	// 0 if not limited.
+	Connections int `toml:"-"`
 }
 
 // Experts describes the experts of a model group and the cost of moving them.
@@ -71,6 +82,11 @@
 	Bytes int64 `toml:"bytes"`
 	// StoreBytesPerSecond is the weight store's rate for the group.
 	StoreBytesPerSecond int64 `toml:"storeBytesPerSecond"`
+	// NewPerRank bounds the experts of a layer that one change may bring to a
+	// rank; 0 if not limited.
+	NewPerRank int `toml:"-"`
+	// FormTime is how long a group that broke takes to form again.
+	FormTime time.Duration `toml:"-"`
 }
 
 // Endpoint is one model engine or plain service.
@@ -85,10 +101,26 @@
 
 // Route maps a path prefix to a group.
 type Route struct {
+	// Name appears in logs; it may be empty.
+	Name string `toml:"name"`
+	// Host is the host that requests must name; empty for any.
+	Host string `toml:"host"`
 	// Path is an absolute path; it matches itself and everything below it.
 	Path string `toml:"path"`
-	// Group names an existing group.
+	// Group names an existing group. It is empty if Shares is set.
 	Group string `toml:"group"`
+	// Shares splits the route's requests between groups.
+	Shares []Share `toml:"-"`
+	// Anonymous routes need no token.
+	Anonymous bool `toml:"anonymous"`
+	// Stream says that answers are numbered events, and that a broken answer is
+	// continued after the last event delivered instead of at a byte offset.
+	Stream bool `toml:"-"`
+	// MaxAttempts bounds the endpoints that one request is sent to; 0 for the
+	// product's own bound.
+	MaxAttempts int `toml:"maxAttempts"`
+	// Objective is the time in which an answer should begin; 0 if not stated.
+	Objective time.Duration `toml:"-"`
 	// Idempotent routes may be retried after a lost answer.
 	Idempotent bool `toml:"idempotent"`
 	// Splice permits continuing a broken answer with the bytes of another
@@ -104,6 +136,13 @@
 	MaxBodyBytes int64 `toml:"maxBodyBytes"`
 }
 
+// Share is a group's part of a route's requests.
+type Share struct {
+	Group string
+	// Weight is relative to the other shares; at least 0.
+	Weight int
+}
+
 // ClientAccount is a caller known by its tokens.
 type ClientAccount struct {
 	// Name is unique among client accounts.
@@ -117,8 +156,17 @@
 // MaxBodyLimit is the largest request body that a route may allow, in bytes.
 const MaxBodyLimit = 2 << 20
 
+// NewBundle indexes a bundle that was not read from TOML. The caller answers
+// for its content.
+func NewBundle(b Bundle) *Bundle {
+	b.buildIndex()
+	return &b
+}
+
 type index struct {
-	groups    map[string]*Group
+	groups map[string]*Group
+	// routes holds the routes of each host, the longest path first.
+	routes    map[string][]*Route
 	endpoints map[string]*Endpoint
 	tokens    map[string]*ClientAccount
 }
@@ -128,6 +176,14 @@
 		groups:    make(map[string]*Group, len(b.Groups)),
 		endpoints: make(map[string]*Endpoint, len(b.Endpoints)),
 		tokens:    make(map[string]*ClientAccount, len(b.ClientAccounts)),
+		routes:    map[string][]*Route{},
+	}
+	for i := range b.Routes {
+		r := &b.Routes[i]
+		b.index.routes[r.Host] = append(b.index.routes[r.Host], r)
+	}
+	for _, routes := range b.index.routes {
+		slices.SortStableFunc(routes, func(x, y *Route) int { return len(y.Path) - len(x.Path) })
 	}
 	for i := range b.Groups {
 		b.index.groups[b.Groups[i].Name] = &b.Groups[i]
@@ -174,16 +230,17 @@
 	return b.index.tokens[HashToken(token)]
 }
 
-// Route returns the route with the longest matching path, or nil.
-func (b *Bundle) Route(path string) *Route {
-	var best *Route
-	for i := range b.Routes {
-		r := &b.Routes[i]
-		if r.matches(path) && (best == nil || len(r.Path) > len(best.Path)) {
-			best = r
+// Route returns the route of the host with the longest matching path, or nil.
+// Routes of any host come after those of the host itself.
+func (b *Bundle) Route(host, path string) *Route {
+	for _, routes := range [][]*Route{b.index.routes[host], b.index.routes[""]} {
+		for _, r := range routes {
+			if r.matches(path) {
+				return r
+			}
 		}
 	}
-	return best
+	return nil
 }
 
 func (r *Route) matches(path string) bool {
@@ -193,6 +250,22 @@
 	return len(path) == len(r.Path) || strings.HasSuffix(r.Path, "/") || path[len(r.Path)] == '/'
 }
 
+// GroupFor returns the group that serves a request of the route, where draw is
+// uniform in [0, 1).
+func (r *Route) GroupFor(draw float64) string {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	at := draw * float64(total)
+	for _, s := range r.Shares {
+		if at -= float64(s.Weight); at < 0 {
+			return s.Group
+		}
+	}
+	return r.Group
+}
+
 // HashToken returns the hex SHA-256 of a caller's token.
 func HashToken(token string) string {
 	sum := sha256.Sum256([]byte(token))
--- a/pkg/bundle/bundle_test.go
+++ b/pkg/bundle/bundle_test.go
@@ -68,8 +68,8 @@
 	It("takes the longest path that matches whole segments", func() {
 		b, err := bundle.Parse(example("kavango.toml"))
 		Expect(err).NotTo(HaveOccurred())
-		Expect(b.Route("/v1/drafts/7").Path).To(Equal("/v1/drafts"))
-		Expect(b.Route("/v1/draftsman")).To(BeNil())
+		Expect(b.Route("", "/v1/drafts/7").Path).To(Equal("/v1/drafts"))
+		Expect(b.Route("", "/v1/draftsman")).To(BeNil())
 	})
 })
 
--- a/pkg/bundle/check.go
+++ b/pkg/bundle/check.go
@@ -105,8 +105,9 @@
 		r := &b.Routes[i]
 		table := fmt.Sprintf("routes[%d]", i)
 		c.require(strings.HasPrefix(r.Path, "/"), table, "path", "must start with a slash")
-		c.require(!seen[r.Path], table, "path", "%q is already routed", r.Path)
-		seen[r.Path] = true
+		c.require(!seen[r.Host+r.Path], table, "path", "%q is already routed", r.Path)
+		seen[r.Host+r.Path] = true
+		c.require(r.MaxAttempts >= 0, table, "maxAttempts", "must not be negative")
 		c.require(groups[r.Group], table, "group", "no group is named %q", r.Group)
 		c.require(r.Idempotent || !r.Splice, table, "splice", "needs an idempotent route")
 		c.require(r.Priority >= 0 && r.Priority <= maxPriority, table, "priority", "must be 0 to %d", maxPriority)
--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -37,7 +37,7 @@
 without "a first load report is needed" $gate/gate.go 's/case !g.reported:/case false:/' ./$gate "cold gate"
 without "gates close at refused connections" $gate/gate.go 's/g.reported = g.reported \&\& !c.NeverSent//' ./internal/proof "endpoint killed"
 without "silent links are found" internal/connection/sidecar/link.go 's/silent := .*/silent := false/' ./internal/proof "link silent"
-without "attempts are sealed before a retry" internal/connection/caller/dispatch.go 's/return d.settle\(ctx, a\)$/return again{reason: outcome.ConnectionLost}/' ./internal/proof "booking: link"
+without "attempts are sealed before a retry" internal/connection/caller/dispatch.go 's/return d.askGate\(ctx, a, w.Link\)$/return again{reason: outcome.ConnectionLost}/' ./internal/proof "booking: link"
 without "a claim decides who runs a key" internal/connection/caller/claiming.go 's/if held.Claim == mine \{/if true {/' ./internal/proof "repeat of a key"
 without "what may have run is not called not run" internal/connection/caller/dispatch.go 's/d.mayHaveRun = true/d.mayHaveRun = false/' ./internal/proof "says unknown"
 without "the end of an answer is explicit" internal/connection/sidecar/exchange.go 's/whole := .*/whole := true/' ./internal/connection/sidecar "end"
