--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -13,10 +13,11 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/cicadareel/cicadareel/internal/connection/platform"
+	"github.com/cicadareel/cicadareel/internal/connection/store"
 	"github.com/cicadareel/cicadareel/internal/process/settings"
 	"github.com/cicadareel/cicadareel/pkg/bundle"
 	"github.com/cicadareel/cicadareel/pkg/order"
+	"github.com/cicadareel/cicadareel/platform"
 )
 
 // Exit codes.
@@ -56,8 +57,8 @@
 	var invalidOrder *order.InvalidError
 	var usage *UsageError
 	var notInForce *NotInForceError
-	var conflict *platform.ConflictError
-	var unavailable *platform.UnavailableError
+	var conflict *store.ConflictError
+	var unavailable *store.UnavailableError
 	var unreachable *UnreachableError
 	switch {
 	case errors.As(err, &invalidBundle), errors.As(err, &invalidSettings), errors.As(err, &invalidOrder), errors.As(err, &usage):
@@ -78,7 +79,7 @@
 func (e *UsageError) Error() string { return e.Problem }
 
 func settingsOption() cli.Flag {
-	return &cli.StringFlag{Name: settingsFlag, Usage: "settings `FILE`", Required: true, Sources: cli.EnvVars("CICADAREEL_SETTINGS")}
+	return &cli.StringFlag{Name: settingsFlag, Usage: "settings `FILE`", Required: true, Sources: cli.EnvVars(platform.SettingsVariable)}
 }
 
 func jsonOption() cli.Flag { return &cli.BoolFlag{Name: "json", Usage: "print JSON"} }
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -14,7 +14,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/cicadareel/cicadareel/internal/connection/peer"
-	"github.com/cicadareel/cicadareel/internal/connection/platform"
+	"github.com/cicadareel/cicadareel/internal/connection/store"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
 	"github.com/cicadareel/cicadareel/internal/identity"
 	"github.com/cicadareel/cicadareel/internal/process/settings"
@@ -45,7 +45,7 @@
 type client struct {
 	settings *settings.Settings
 	dialer   *peer.Dialer
-	intent   *platform.Intent
+	intent   *store.Intent
 }
 
 func newClient(c *cli.Command) (*client, error) {
@@ -57,8 +57,8 @@
 	if err != nil {
 		return nil, err
 	}
-	p := platform.NewClient(s.Platform.TableAddress, s.Platform.ObjectAddress, s.Platform.InstanceListAddress)
-	return &client{settings: s, dialer: peer.NewDialer(id), intent: platform.NewIntent(p, p)}, nil
+	p := store.NewClient(s.Platform.TableAddress, s.Platform.ObjectAddress, s.Platform.InstanceListAddress)
+	return &client{settings: s, dialer: peer.NewDialer(id), intent: store.NewIntent(p, p)}, nil
 }
 
 // privateKey reads the operator's signing key.
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -19,7 +22,24 @@
 			if err != nil {
 				return err
 			}
-			return entry.Run(ctx, s)
+			hangups, stop := hangupSignals()
+			defer stop()
+			return entry.Run(ctx, s, hangups, func() (*settings.Settings, error) {
+				return loadSettings(c, settings.RoleEntry)
+			})
 		},
 	}
 }
+
+// hangupSignals passes on SIGHUP, which asks for the settings to be read again.
+func hangupSignals() (<-chan struct{}, func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	hangups := make(chan struct{})
+	go func() {
+		for range signals {
+			hangups <- struct{}{}
+		}
+	}()
+	return hangups, func() { signal.Stop(signals) }
+}
--- a/internal/connection/caller/dispatch.go
+++ b/internal/connection/caller/dispatch.go
@@ -251,7 +251,8 @@
 	case Gated:
 		return w.Link.Begin(ctx, d.frame(a))
 	case Direct:
-		return w.Endpoint.Begin(ctx, d.call()), nil
+		// The endpoint may answer until a little after the deadline.
+		return w.Endpoint.Begin(context.WithoutCancel(ctx), d.call()), nil
 	}
 	return nil, &NoWayError{Endpoint: a.target.Member.Name}
 }
--- a/internal/connection/endpoint/endpoint.go
+++ b/internal/connection/endpoint/endpoint.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
+	"net/url"
 	"sync/atomic"
 	"time"
 
@@ -119,7 +120,8 @@
 	if err != nil {
 		return nil, &CallError{NeverSent: true, Cause: err}
 	}
-	req.URL.Opaque = call.Target
+	// The target goes out as the caller wrote it, escapes and all.
+	req.URL = &url.URL{Scheme: req.URL.Scheme, Host: req.URL.Host, Opaque: call.Target}
 	req.Host = call.Host
 	req.Header = call.Header
 	req.ContentLength = int64(len(call.Body))
--- a/internal/connection/peer/neighbours.go
+++ b/internal/connection/peer/neighbours.go
@@ -3,7 +3,7 @@
 import (
 	"sort"
 
-	"github.com/cicadareel/cicadareel/internal/connection/platform"
+	"github.com/cicadareel/cicadareel/internal/connection/store"
 	"github.com/cicadareel/cicadareel/internal/rendezvous"
 )
 
@@ -18,8 +18,8 @@
 // one on a ring of all names, which connects everybody, and a few of each
 // failure domain by rendezvous hashing, which makes the ways short. The choice
 // changes little when instances come and go.
-func Neighbours(self Self, all []platform.Instance) []platform.Instance {
-	byDomain := map[string][]platform.Instance{}
+func Neighbours(self Self, all []store.Instance) []store.Instance {
+	byDomain := map[string][]store.Instance{}
 	for _, p := range all {
 		if p.Name != self.Instance {
 			byDomain[p.FailureDomain] = append(byDomain[p.FailureDomain], p)
@@ -42,8 +42,8 @@
 }
 
 // successor returns the process with the next higher name, or the lowest.
-func successor(self string, all []platform.Instance) []platform.Instance {
-	var next, lowest *platform.Instance
+func successor(self string, all []store.Instance) []store.Instance {
+	var next, lowest *store.Instance
 	for i := range all {
 		p := &all[i]
 		if p.Name == self {
@@ -58,14 +58,14 @@
 	}
 	switch {
 	case next != nil:
-		return []platform.Instance{*next}
+		return []store.Instance{*next}
 	case lowest != nil:
-		return []platform.Instance{*lowest}
+		return []store.Instance{*lowest}
 	}
 	return nil
 }
 
-func closest(self string, peers []platform.Instance, limit int) []platform.Instance {
+func closest(self string, peers []store.Instance, limit int) []store.Instance {
 	sort.Slice(peers, func(i, j int) bool {
 		a, b := rendezvous.Score(self, peers[i].Name), rendezvous.Score(self, peers[j].Name)
 		if a != b {
--- a/internal/connection/peer/spread.go
+++ b/internal/connection/peer/spread.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/cicadareel/cicadareel/internal/connection/platform"
+	"github.com/cicadareel/cicadareel/internal/connection/store"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
 	"github.com/cicadareel/cicadareel/internal/events"
 	"github.com/cicadareel/cicadareel/internal/metrics"
@@ -42,7 +42,7 @@
 type Spread struct {
 	self    Self
 	view    *view.View
-	members *platform.Members
+	members *store.Members
 	clients *Clients
 	log     *events.Log
 	metrics *metrics.Metrics
@@ -55,13 +55,13 @@
 	askBacks chan string
 	// list and closest are the last instance list and the neighbours in it;
 	// used by the exchanging goroutine only.
-	list    []platform.Instance
-	closest []platform.Instance
+	list    []store.Instance
+	closest []store.Instance
 	done    sync.WaitGroup
 }
 
 // NewSpread starts exchanging views until ctx ends.
-func NewSpread(ctx context.Context, self Self, v *view.View, members *platform.Members, c *Clients, l *events.Log, m *metrics.Metrics) *Spread {
+func NewSpread(ctx context.Context, self Self, v *view.View, members *store.Members, c *Clients, l *events.Log, m *metrics.Metrics) *Spread {
 	s := &Spread{self: self, view: v, members: members, clients: c, log: l, metrics: m, nudges: make(chan struct{}, 1), askBacks: make(chan string, askBackLimit)}
 	s.adopting = make(chan struct{}, 1)
 	s.done.Go(func() { s.exchangeLoop(ctx) })
@@ -131,7 +131,7 @@
 }
 
 // neighbours is worked out anew only when the instance list changes.
-func (s *Spread) neighbours() []platform.Instance {
+func (s *Spread) neighbours() []store.Instance {
 	list := s.members.List()
 	if len(list) != len(s.list) || (len(list) > 0 && &list[0] != &s.list[0]) {
 		s.list = list
@@ -159,7 +159,7 @@
 
 // exchange asks one peer for what this process lacks. Age is counted from
 // before the question, so that a late answer cannot look fresh.
-func (s *Spread) exchange(ctx context.Context, n platform.Instance) {
+func (s *Spread) exchange(ctx context.Context, n store.Instance) {
 	asked := time.Now()
 	digest := s.view.OrdersDigest()
 	update, err := call(ctx, s.clients, n.PeerAddress, exchangeTimeout,
@@ -196,7 +196,7 @@
 
 // adoptBundle takes a newer bundle, after asking the peer for the parts that
 // this process does not hold.
-func (s *Spread) adoptBundle(ctx context.Context, from platform.Instance, m *wire.SignedBundle) error {
+func (s *Spread) adoptBundle(ctx context.Context, from store.Instance, m *wire.SignedBundle) error {
 	s.adopting <- struct{}{}
 	defer func() { <-s.adopting }()
 	if m == nil || m.GetVersion() <= s.view.Version() {
@@ -224,7 +224,7 @@
 	return nil
 }
 
-func (s *Spread) assemble(ctx context.Context, from platform.Instance, signed *bundle.Signed) error {
+func (s *Spread) assemble(ctx context.Context, from store.Instance, signed *bundle.Signed) error {
 	held := s.view.Signed().Parts()
 	digests, _ := bundle.PartDigests(signed.Manifest)
 	missing := &wire.PartsRequest{}
@@ -264,7 +264,7 @@
 	out := &wire.OrderReply{InForce: []string{s.self.Instance}}
 	forward := &wire.OrderRequest{Orders: in.GetOrders()}
 	var mu sync.Mutex
-	s.forEachOther(func(p platform.Instance) {
+	s.forEachOther(func(p store.Instance) {
 		_, err := call(ctx, s.clients, p.PeerAddress, tellTimeout,
 			func(ctx context.Context, c wire.PeerClient) (*wire.OrderReply, error) {
 				return c.Order(ctx, forward)
@@ -284,7 +284,7 @@
 func (s *Spread) CollectStatus(ctx context.Context) []*wire.ProcessStatus {
 	var all []*wire.ProcessStatus
 	var mu sync.Mutex
-	s.forEachOther(func(p platform.Instance) {
+	s.forEachOther(func(p store.Instance) {
 		reply, err := call(ctx, s.clients, p.PeerAddress, tellTimeout,
 			func(ctx context.Context, c wire.PeerClient) (*wire.StatusReply, error) {
 				return c.Status(ctx, &wire.StatusRequest{})
@@ -306,7 +306,7 @@
 	return all
 }
 
-func (s *Spread) forEachOther(visit func(platform.Instance)) {
+func (s *Spread) forEachOther(visit func(store.Instance)) {
 	slots := make(chan struct{}, tellParallel)
 	var calls sync.WaitGroup
 	for _, p := range s.members.List() {
--- a/internal/connection/platform/platform.go
+++ b/internal/connection/store/client.go
@@ -1,6 +1,6 @@
-// Package platform is the client of the platform's table service, object
+// Package store is the client of the platform's table service, object
 // store and instance list.
-package platform
+package store
 
 import (
 	"bytes"
--- a/internal/connection/platform/intent.go
+++ b/internal/connection/store/intent.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
--- a/internal/measure/spread.go
+++ b/internal/measure/spread.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/cicadareel/cicadareel/internal/connection/peer"
-	"github.com/cicadareel/cicadareel/internal/connection/platform"
+	"github.com/cicadareel/cicadareel/internal/connection/store"
 	"github.com/cicadareel/cicadareel/internal/version/view"
 )
 
@@ -15,10 +15,10 @@
 type graph struct{ asks [][]int }
 
 func newGraph(processes, domains int) graph {
-	list := make([]platform.Instance, processes)
+	list := make([]store.Instance, processes)
 	index := map[string]int{}
 	for i := range list {
-		list[i] = platform.Instance{Name: fmt.Sprint("process-", i), FailureDomain: fmt.Sprint("domain-", i%domains)}
+		list[i] = store.Instance{Name: fmt.Sprint("process-", i), FailureDomain: fmt.Sprint("domain-", i%domains)}
 		index[list[i].Name] = i
 	}
 	g := graph{asks: make([][]int, processes)}
@@ -87,7 +87,7 @@
 	const round = 500 * time.Millisecond
 	random := rand.New(rand.NewPCG(seed, seed))
 	g := newGraph(processes, 4)
-	interval := platform.PollInterval(processes)
+	interval := store.PollInterval(processes)
 	age := make([]time.Duration, processes)
 	next := make([]time.Duration, processes)
 	for i := range next {
--- a/internal/process/common.go
+++ b/internal/process/common.go
@@ -13,7 +13,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/cicadareel/cicadareel/internal/connection/peer"
-	"github.com/cicadareel/cicadareel/internal/connection/platform"
+	"github.com/cicadareel/cicadareel/internal/connection/store"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
 	"github.com/cicadareel/cicadareel/internal/events"
 	"github.com/cicadareel/cicadareel/internal/identity"
@@ -29,10 +29,10 @@
 	Dialer      *peer.Dialer
 	Log         *events.Log
 	Metrics     *metrics.Metrics
-	Platform    *platform.Client
+	Platform    *store.Client
 	View        *view.View
-	Members     *platform.Members
-	Poller      *platform.Poller
+	Members     *store.Members
+	Poller      *store.Poller
 	Spread      *peer.Spread
 	Server      *grpc.Server
 	clients     *peer.Clients
@@ -56,14 +56,14 @@
 		Dialer:      peer.NewDialer(id),
 		Log:         events.NewLog(s.LogLevel, s.Instance),
 		Metrics:     m,
-		Platform:    platform.NewClient(s.Platform.TableAddress, s.Platform.ObjectAddress, s.Platform.InstanceListAddress),
+		Platform:    store.NewClient(s.Platform.TableAddress, s.Platform.ObjectAddress, s.Platform.InstanceListAddress),
 		View:        view.NewView(s.Keys(), s.FailureDomain),
 		cancel:      cancel,
 	}
 	c.clients = peer.NewClients(c.Dialer)
 	c.Server = peer.NewGRPCServer(id.Server())
-	c.Members = platform.NewMembers(ctx, c.Platform, s.Seeds)
-	c.Poller = platform.NewPoller(ctx, platform.NewIntent(c.Platform, c.Platform), c.View, c.Members, c.Log)
+	c.Members = store.NewMembers(ctx, c.Platform, s.Seeds)
+	c.Poller = store.NewPoller(ctx, store.NewIntent(c.Platform, c.Platform), c.View, c.Members, c.Log)
 	c.Spread = peer.NewSpread(ctx, c.self(), c.View, c.Members, c.clients, c.Log, m)
 	m.Gauge("cicadareel_log_lines_dropped", "Log lines not written.", c.Log.Dropped)
 	m.Gauge("cicadareel_bundle_version", "Version of the bundle in force.", func() int64 { return int64(c.View.Version()) })
--- /dev/null
+++ b/internal/process/entry/deployed.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"context"
+	"runtime/debug"
+	"time"
+
+	"github.com/cicadareel/cicadareel/internal/connection/caller"
+	"github.com/cicadareel/cicadareel/internal/connection/store"
+	"github.com/cicadareel/cicadareel/internal/events"
+	"github.com/cicadareel/cicadareel/internal/metrics"
+	"github.com/cicadareel/cicadareel/internal/process/settings"
+	"github.com/cicadareel/cicadareel/internal/request/retry"
+	"github.com/cicadareel/cicadareel/internal/tcp"
+	"github.com/cicadareel/cicadareel/internal/version/mirror"
+	"github.com/cicadareel/cicadareel/platform"
+)
+
+const (
+	// deployedLameDuck covers two checks of a balancer that asks each second,
+	// and the time for its news to spread.
+	deployedLameDuck = 2500 * time.Millisecond
+	// exitMargin is kept of the grace for ending the process itself.
+	exitMargin = 300 * time.Millisecond
+	// memoryShare is the part of the memory limit that the runtime aims to stay
+	// under; the rest is for unread bytes and stacks of the system.
+	memoryShare = 0.8
+)
+
+// newDeployed backs an entry by the platform's store and by endpoints that
+// announce themselves there.
+func newDeployed(ctx context.Context, s *settings.Settings) (*backing, error) {
+	m, err := metrics.NewMetrics()
+	if err != nil {
+		return nil, err
+	}
+	limitMemory(s)
+	log := events.NewLog(s.LogLevel, s.Instance)
+	dial := tcp.Dialer().DialContext
+	copies := mirror.NewMirror()
+	follower := store.NewFollower(ctx, platform.NewStore(s.Deployment.StoreAddress, dial), copies, log)
+	budgets := retry.NewBudgets(retry.SharedTerms(s.Deployment.RetryRatio, s.Deployment.RetrySlack, s.Deployment.RetryWindow(), entriesUnknown))
+	d := newDirectory(ctx, s, copies, log)
+	m.Gauge("cicadareel_log_lines_dropped", "Log lines not written.", log.Dropped)
+	m.Gauge("cicadareel_bundle_version", "Version of the bundle in force.", d.version)
+	return &backing{
+		parts: caller.Parts{
+			Bundles: d.bundle.Load,
+			Fleet:   d,
+			Dialect: platform.Callers{},
+			Budgets: budgets,
+			Log:     log,
+			Metrics: m,
+		},
+		ready:    d.ready,
+		lameDuck: deployedLameDuck,
+		shutdown: s.Deployment.Grace() - deployedLameDuck - exitMargin,
+		reload:   limitMemory,
+		close: func() {
+			follower.Wait()
+			d.wait()
+		},
+	}, nil
+}
+
+// limitMemory makes the runtime collect garbage before the process reaches its
+// memory limit.
+func limitMemory(s *settings.Settings) {
+	if s.Deployment.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(s.Deployment.MemoryBytes) * memoryShare))
+	}
+}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -1,12 +1,10 @@
 // Package entry assembles the entry process: callers' requests in, attempts
-// at sidecars out.
+// at endpoints out.
 package entry
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,125 +12,135 @@
 
 	"github.com/cicadareel/cicadareel/internal/connection/caller"
 	"github.com/cicadareel/cicadareel/internal/connection/operator"
-	"github.com/cicadareel/cicadareel/internal/connection/wire"
 	"github.com/cicadareel/cicadareel/internal/events"
-	"github.com/cicadareel/cicadareel/internal/process"
 	"github.com/cicadareel/cicadareel/internal/process/settings"
-	"github.com/cicadareel/cicadareel/internal/request/claim"
-	"github.com/cicadareel/cicadareel/internal/request/retry"
+	"github.com/cicadareel/cicadareel/internal/tcp"
 )
 
 const (
-	// lameDuck is how long the process serves on after failing its readiness
-	// check, so that the platform's balancer can turn to others.
-	lameDuck = time.Second
-	// shutdownLimit bounds a graceful shutdown; it exceeds any route's timeout
-	// that operators should use.
-	shutdownLimit = 10 * time.Minute
-	// streamGrace is how long peers' streams may take to end.
-	streamGrace = time.Second
 	// headerTimeout bounds reading a caller's request header.
 	headerTimeout = 10 * time.Second
+	// idleTimeout bounds an unused connection of a caller. It exceeds the idle
+	// times that callers are told of, so that no request crosses the close.
+	idleTimeout = 2 * time.Minute
 )
 
+// Reload returns the settings anew after a signal, or an error that explains
+// why the file cannot be used.
+type Reload func() (*settings.Settings, error)
+
 // entry holds the parts of the process from its start to its end.
 type entry struct {
 	settings *settings.Settings
-	common   *process.Common
-	fleet    *fleet
-	claims   *claim.Store
+	backing  *backing
 	callers  *http.Server
 	ops      *operator.Server
 	// leaving is true from the start of the graceful shutdown.
 	leaving atomic.Bool
-	// stop ends the duties, which loops waits for.
-	stop  context.CancelFunc
-	loops sync.WaitGroup
+	// stop ends the duties.
+	stop context.CancelFunc
 }
 
-// Run serves until ctx ends, then shuts down without cutting a request.
-func Run(ctx context.Context, s *settings.Settings) error {
+// Run serves until ctx ends, then shuts down without cutting a request. Each
+// value from hangups asks for the settings to be read again.
+func Run(ctx context.Context, s *settings.Settings, hangups <-chan struct{}, reload Reload) error {
 	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	e := &entry{settings: s, stop: stop}
 	if err := e.start(duties); err != nil {
 		return err
 	}
-	e.common.Log.Info(events.ProcessStarted, events.Fields{"callers": s.CallerAddress.String(), "incarnation": e.common.Incarnation})
-	<-ctx.Done()
-	return e.shutDown()
+	log := e.backing.parts.Log
+	log.Info(events.ProcessStarted, events.Fields{"callers": s.CallerAddress.String(), "failureDomain": s.FailureDomain})
+	for {
+		select {
+		case <-ctx.Done():
+			return e.shutDown()
+		case <-hangups:
+			e.reload(reload)
+		}
+	}
 }
 
 func (e *entry) start(duties context.Context) error {
-	c, err := process.NewCommon(duties, e.settings)
+	var err error
+	if e.settings.Deployment.StoreAddress.IsValid() {
+		e.backing, err = newDeployed(duties, e.settings)
+	} else {
+		e.backing, err = newSigned(duties, e.settings)
+	}
 	if err != nil {
 		return err
 	}
-	e.common = c
-	e.fleet = newFleet(e.settings, c.Dialer, c.View, c.Members, c.Log, c.Metrics)
-	e.claims = claim.NewStore(duties, c.Platform)
-	if e.ops, err = operator.NewServer(e.settings.OperatorAddress, c.Metrics, e.ready); err != nil {
+	if e.ops, err = operator.NewServer(e.settings.OperatorAddress, e.backing.parts.Metrics, e.ready); err != nil {
 		return err
 	}
-	if err := c.Serve(func(*wire.ProcessStatus) {}); err != nil {
-		return err
+	if at := e.settings.MetricsAddress; at.IsValid() && at != e.settings.OperatorAddress {
+		if _, err = operator.NewServer(at, e.backing.parts.Metrics, e.ready); err != nil {
+			return err
+		}
 	}
-	e.loops.Go(func() { refreshLoop(duties, c, e.fleet) })
 	return e.serveCallers()
 }
 
 func (e *entry) serveCallers() error {
-	listener, err := net.Listen("tcp", e.settings.CallerAddress.String())
+	listener, err := tcp.Listen(e.settings.CallerAddress)
 	if err != nil {
-		return oops.In("entry").Wrap(err)
+		return err
 	}
-	c := e.common
-	service := caller.NewService(caller.Parts{
-		Bundles: c.View.Bundle,
-		Fleet:   e.fleet,
-		Claims:  e.claims,
-		Dialect: caller.ProblemDialect{},
-		Budgets: retry.NewBudgets(retry.DefaultTerms()),
-		Log:     c.Log,
-		Metrics: c.Metrics,
-	})
-	e.callers = &http.Server{Handler: service, ReadHeaderTimeout: headerTimeout}
-	go func() { _ = e.callers.Serve(listener) }()
+	e.callers = &http.Server{
+		Handler:           e.closing(caller.NewService(e.backing.parts)),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+	go func() {
+		if err := e.callers.Serve(listener); err != http.ErrServerClosed {
+			e.backing.parts.Log.Warn(events.ServeFailed, events.Fields{"error": err.Error()})
+		}
+	}()
 	return nil
 }
 
+// closing ends each connection after its answer once the process is leaving.
+func (e *entry) closing(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // ready tells the platform's balancer whether to send callers here.
-func (e *entry) ready() bool { return !e.leaving.Load() && e.common.View.Bundle() != nil }
+func (e *entry) ready() bool { return !e.leaving.Load() && e.backing.ready() }
+
+// reload reads the settings again; a file that cannot be used changes nothing.
+func (e *entry) reload(read Reload) {
+	log := e.backing.parts.Log
+	s, err := read()
+	if err != nil {
+		log.Warn(events.SettingsRefused, events.Fields{"error": err.Error()})
+		return
+	}
+	if e.backing.reload != nil {
+		e.backing.reload(s)
+	}
+	log.Info(events.SettingsReloaded, nil)
+}
 
 // shutDown finishes the requests in progress and then ends the duties.
 func (e *entry) shutDown() error {
-	e.common.Log.Info(events.ProcessStopping, nil)
+	log := e.backing.parts.Log
+	log.Info(events.ProcessStopping, nil)
 	e.leaving.Store(true)
-	e.callers.SetKeepAlivesEnabled(false)
-	time.Sleep(lameDuck)
-	bounded, cancel := context.WithTimeout(context.Background(), shutdownLimit)
+	time.Sleep(e.backing.lameDuck)
+	bounded, cancel := context.WithTimeout(context.Background(), e.backing.shutdown)
 	defer cancel()
 	err := e.callers.Shutdown(bounded)
 	e.stop()
-	e.loops.Wait()
-	e.claims.Wait()
-	e.fleet.close()
-	e.common.Close(streamGrace)
+	e.backing.close()
 	e.ops.Close(context.Background())
-	e.common.Log.Info(events.ProcessStopped, nil)
+	log.Info(events.ProcessStopped, nil)
+	log.Close()
 	return oops.In("entry").Wrap(err)
 }
-
-// refreshLoop follows the view and the instance list.
-func refreshLoop(ctx context.Context, c *process.Common, f *fleet) {
-	for {
-		viewChanged, listChanged := c.View.Changed(), c.Members.Changed()
-		f.refresh()
-		select {
-		case <-ctx.Done():
-			return
-		case <-viewChanged:
-		case <-listChanged:
-		}
-	}
-}
--- a/internal/process/entry/fleet.go
+++ b/internal/process/entry/fleet.go
@@ -9,8 +9,8 @@
 
 	"github.com/cicadareel/cicadareel/internal/connection/caller"
 	"github.com/cicadareel/cicadareel/internal/connection/peer"
-	"github.com/cicadareel/cicadareel/internal/connection/platform"
 	"github.com/cicadareel/cicadareel/internal/connection/sidecar"
+	"github.com/cicadareel/cicadareel/internal/connection/store"
 	"github.com/cicadareel/cicadareel/internal/events"
 	"github.com/cicadareel/cicadareel/internal/metrics"
 	"github.com/cicadareel/cicadareel/internal/process/settings"
@@ -41,7 +41,7 @@
 	settings *settings.Settings
 	dialer   *peer.Dialer
 	view     *view.View
-	members  *platform.Members
+	members  *store.Members
 	log      *events.Log
 	metrics  *metrics.Metrics
 
@@ -54,7 +54,7 @@
 	tables map[string]*choice.Table
 }
 
-func newFleet(s *settings.Settings, d *peer.Dialer, v *view.View, m *platform.Members, l *events.Log, x *metrics.Metrics) *fleet {
+func newFleet(s *settings.Settings, d *peer.Dialer, v *view.View, m *store.Members, l *events.Log, x *metrics.Metrics) *fleet {
 	return &fleet{
 		settings: s,
 		dialer:   d,
--- /dev/null
+++ b/internal/process/entry/worker.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cicadareel/cicadareel/internal/connection/endpoint"
+	"github.com/cicadareel/cicadareel/internal/events"
+	"github.com/cicadareel/cicadareel/internal/request/choice"
+	"github.com/cicadareel/cicadareel/internal/version/roster"
+	"github.com/cicadareel/cicadareel/platform"
+)
+
+const (
+	// downTime is how long an endpoint gets no work after a connection to it
+	// could not be opened. Endpoints that are gone leave the list meanwhile.
+	downTime = time.Second
+	// coldShare is the part of a cold endpoint's rate that arrives evenly; the
+	// rest is for the burst that a full bucket allows.
+	coldShare = 0.75
+)
+
+// worker is one endpoint that attempts go straight to.
+type worker struct {
+	directory *directory
+	member    *choice.Member
+	way       *endpoint.Direct
+	// info is guarded by the directory's lock.
+	info roster.Endpoint
+
+	mu sync.Mutex
+	// replaced is true once another endpoint answered at the address.
+	replaced bool
+	retired  bool
+}
+
+func newWorker(d *directory, info roster.Endpoint) *worker {
+	w := &worker{directory: d, member: choice.NewMember(info.Name, info.FailureDomain), info: info}
+	w.member.Warmup = &choice.Warmup{}
+	w.way = endpoint.NewDirect(info.Name, d.newClient(info), platform.Workers{}, w)
+	w.member.SetHeld(d.held[info.FailureDomain])
+	return w
+}
+
+// update takes a newer announcement.
+func (w *worker) update(info roster.Endpoint) {
+	fresh := info.Revision != w.info.Revision || !w.info.Leaving && info.Leaving
+	if info.Leaving && !w.info.Leaving {
+		w.directory.log.Info(events.EndpointRemoved, events.Fields{"endpoint": info.Name, "reason": "leaving", "revision": info.Revision})
+	}
+	first := !w.member.Known()
+	w.info = info
+	w.member.Update(info.Slots, 0, !info.Leaving)
+	if fresh || first {
+		w.warmUp(info)
+	}
+}
+
+// warmUp limits the work of an endpoint that says it is cold.
+func (w *worker) warmUp(info roster.Endpoint) {
+	rate, _ := w.directory.coldRate(info.Group)
+	if rate == 0 || info.ColdFor <= 0 {
+		return
+	}
+	w.member.Warmup.Cold(time.Now().Add(info.ColdFor), rate*coldShare)
+}
+
+// retire ends the worker's use.
+func (w *worker) retire(reason string, revision uint64) {
+	w.mu.Lock()
+	w.retired = true
+	w.mu.Unlock()
+	w.member.Down()
+	w.directory.log.Info(events.EndpointRemoved, events.Fields{"endpoint": w.info.Name, "reason": reason, "revision": revision})
+}
+
+// Observed implements endpoint.Observer.
+func (w *worker) Observed(e endpoint.Evidence) {
+	switch e.(type) {
+	case endpoint.Absent:
+		w.down("connection refused")
+	case endpoint.Replaced:
+		w.mu.Lock()
+		w.replaced = true
+		w.mu.Unlock()
+		w.down("another endpoint has the address")
+	}
+}
+
+// down takes the endpoint out of the choice for a while, or for good if another
+// one has its address.
+func (w *worker) down(reason string) {
+	w.member.Down()
+	w.directory.log.Info(events.EndpointDown, events.Fields{"endpoint": w.member.Name, "reason": reason})
+	time.AfterFunc(downTime, w.up)
+}
+
+func (w *worker) up() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.replaced && !w.retired {
+		w.member.Up()
+	}
+}
--- a/internal/process/settings/check.go
+++ b/internal/process/settings/check.go
@@ -12,9 +12,12 @@
 
 type checker struct{ problems []string }
 
-func (c *checker) require(ok bool, key, text string) {
+// minGraceMs leaves time for a balancer to turn away and for requests to end.
+const minGraceMs = 4000
+
+func (c *checker) require(ok bool, key, text string, args ...any) {
 	if !ok {
-		c.problems = append(c.problems, key+": "+text)
+		c.problems = append(c.problems, key+": "+fmt.Sprintf(text, args...))
 	}
 }
 
@@ -35,9 +38,13 @@
 
 func (c *checker) check(s *Settings) {
 	c.require(s.Role == RoleEntry || s.Role == RoleSidecar || s.Role == RoleOperator, "role", "must be \"entry\", \"sidecar\" or \"operator\"")
-	c.requireAddress(s.Platform.TableAddress, "platform.tableAddress")
-	c.requireAddress(s.Platform.ObjectAddress, "platform.objectAddress")
-	c.requireAddress(s.Platform.InstanceListAddress, "platform.instanceListAddress")
+	if s.Deployment == (Deployment{}) {
+		c.requireAddress(s.Platform.TableAddress, "platform.tableAddress")
+		c.requireAddress(s.Platform.ObjectAddress, "platform.objectAddress")
+		c.requireAddress(s.Platform.InstanceListAddress, "platform.instanceListAddress")
+	} else {
+		c.checkDeployment(s)
+	}
 	_, err := logrus.ParseLevel(s.LogLevel)
 	c.require(err == nil, "logLevel", "must be one of trace, debug, info, warning, error")
 	c.checkRole(s)
@@ -64,6 +71,21 @@
 	}
 }
 
+func (c *checker) checkDeployment(s *Settings) {
+	d := s.Deployment
+	c.require(s.Role == RoleEntry, "deployment", "is for entries only")
+	c.require(len(s.OperatorKeys) == 0, "operatorKeys", "must not be set together with deployment, whose store is trusted")
+	c.requireAddress(d.StoreAddress, "deployment.storeAddress")
+	c.require(d.RetryRatio >= 0, "deployment.retryRatio", "must not be negative")
+	c.require(d.RetrySlack >= 0, "deployment.retrySlack", "must not be negative")
+	c.require(d.RetryWindowMs > 0, "deployment.retryWindowMs", "must be a positive number of milliseconds")
+	c.require(d.ColdFactor > 0, "deployment.coldFactor", "must be positive")
+	c.require(d.ColdTolerance >= 0, "deployment.coldTolerance", "must not be negative")
+	c.require(d.GraceMs >= minGraceMs, "deployment.graceMs", "must be at least %d milliseconds", minGraceMs)
+	c.require(d.StallMs >= 0, "deployment.stallMs", "must not be negative")
+	c.require(d.MemoryBytes >= 0, "deployment.memoryBytes", "must not be negative")
+}
+
 func (c *checker) checkTLS(t *identity.Files) {
 	files := t.CAFile != "" && t.CertFile != "" && t.KeyFile != ""
 	none := t.CAFile == "" && t.CertFile == "" && t.KeyFile == ""
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/samber/oops"
 
@@ -41,6 +42,9 @@
 	PeerAddress netip.AddrPort `toml:"peerAddress"`
 	// OperatorAddress serves health checks and metrics.
 	OperatorAddress netip.AddrPort `toml:"operatorAddress"`
+	// MetricsAddress serves metrics beside OperatorAddress; optional, entries
+	// only.
+	MetricsAddress netip.AddrPort `toml:"metricsAddress"`
 	// Endpoint names the endpoint beside this process; sidecars only.
 	Endpoint string `toml:"endpoint"`
 	// EndpointAddress is where that endpoint listens; sidecars only.
@@ -50,6 +54,9 @@
 	// LogLevel is a level name of logrus.
 	LogLevel string   `toml:"logLevel"`
 	Platform Platform `toml:"platform"`
+	// Deployment is set on a platform whose store holds the operators' intent
+	// and on which endpoints announce themselves; entries only.
+	Deployment Deployment `toml:"deployment"`
 	// OperatorKeys are trusted public keys as "name:base64".
 	OperatorKeys []string       `toml:"operatorKeys"`
 	TLS          identity.Files `toml:"tls"`
@@ -68,6 +75,39 @@
 	InstanceListAddress netip.AddrPort `toml:"instanceListAddress"`
 }
 
+// Deployment describes such a platform and what it demands of all processes
+// together.
+type Deployment struct {
+	// StoreAddress is the platform's store; the other fields need it.
+	StoreAddress netip.AddrPort `toml:"storeAddress"`
+	// RetryRatio and RetrySlack bound the requests that reach endpoints again in
+	// any RetryWindowMs: a share of all requests, and a number besides.
+	RetryRatio    float64 `toml:"retryRatio"`
+	RetrySlack    float64 `toml:"retrySlack"`
+	RetryWindowMs int64   `toml:"retryWindowMs"`
+	// ColdFactor and ColdTolerance bound the requests a second to a cold
+	// endpoint: a multiple of what it bears, and a number besides.
+	ColdFactor    float64 `toml:"coldFactor"`
+	ColdTolerance float64 `toml:"coldTolerance"`
+	// GraceMs is the time from the request to stop to the end by force.
+	GraceMs int64 `toml:"graceMs"`
+	// StallMs is how long work waits on an endpoint that is gone.
+	StallMs int64 `toml:"stallMs"`
+	// MemoryBytes is the memory limit of this process; 0 if there is none.
+	MemoryBytes int64 `toml:"memoryBytes"`
+}
+
+// RetryWindow is the span over which retries are bounded.
+func (d Deployment) RetryWindow() time.Duration {
+	return time.Duration(d.RetryWindowMs) * time.Millisecond
+}
+
+// Grace is the time from the request to stop to the end by force.
+func (d Deployment) Grace() time.Duration { return time.Duration(d.GraceMs) * time.Millisecond }
+
+// Stall is how long work waits on an endpoint that is gone.
+func (d Deployment) Stall() time.Duration { return time.Duration(d.StallMs) * time.Millisecond }
+
 // InvalidError lists every problem found in a settings file.
 type InvalidError struct{ Problems []string }
 
@@ -102,7 +142,9 @@
 		return nil, newInvalidError(problems)
 	}
 	c := checker{}
-	s.keys = c.parseKeys(s.OperatorKeys)
+	if !s.Deployment.StoreAddress.IsValid() {
+		s.keys = c.parseKeys(s.OperatorKeys)
+	}
 	c.check(s)
 	if len(c.problems) > 0 {
 		return nil, &InvalidError{Problems: c.problems}
--- a/internal/process/sidecar/experts.go
+++ b/internal/process/sidecar/experts.go
@@ -11,8 +11,8 @@
 	"github.com/samber/oops"
 
 	"github.com/cicadareel/cicadareel/internal/connection/endpoint"
-	"github.com/cicadareel/cicadareel/internal/connection/platform"
 	"github.com/cicadareel/cicadareel/internal/connection/rank"
+	"github.com/cicadareel/cicadareel/internal/connection/store"
 	"github.com/cicadareel/cicadareel/internal/events"
 	"github.com/cicadareel/cicadareel/internal/version/expertmap"
 	"github.com/cicadareel/cicadareel/internal/version/expertplan"
@@ -157,7 +157,7 @@
 // bundle, and whether this sidecar's endpoint is the first live one. Without
 // all of them the group makes no steps and cannot switch.
 func (x *experts) members(g *bundle.Group) ([]netip.AddrPort, bool) {
-	at := map[string]platform.Instance{}
+	at := map[string]store.Instance{}
 	for _, i := range x.sidecar.common.Members.List() {
 		at[i.Endpoint] = i
 	}
@@ -168,7 +168,7 @@
 		if !ok {
 			return nil, false
 		}
-		if lowest == "" && i.State == platform.StateLive {
+		if lowest == "" && i.State == store.StateLive {
 			lowest = name
 		}
 		addresses = append(addresses, i.PeerAddress)
--- a/internal/proof/ensemble_test.go
+++ b/internal/proof/ensemble_test.go
@@ -13,7 +13,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/cicadareel/cicadareel/internal/connection/peer"
-	"github.com/cicadareel/cicadareel/internal/connection/platform"
+	"github.com/cicadareel/cicadareel/internal/connection/store"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
 	"github.com/cicadareel/cicadareel/internal/metrics"
 	"github.com/cicadareel/cicadareel/internal/standin"
@@ -29,8 +29,8 @@
 type participant struct {
 	name, domain string
 	view         *view.View
-	poller       *platform.Poller
-	members      *platform.Members
+	poller       *store.Poller
+	members      *store.Members
 	spread       *peer.Spread
 	clients      *peer.Clients
 	grpc         *grpc.Server
@@ -81,10 +81,10 @@
 		private: private,
 		metrics: m,
 	}
-	list := []platform.Instance{}
+	list := []store.Instance{}
 	for i := range size {
 		name := fmt.Sprint("p", i)
-		list = append(list, platform.Instance{Name: name, FailureDomain: domainOf(i), PeerAddress: addressOf(name), State: platform.StateLive})
+		list = append(list, store.Instance{Name: name, FailureDomain: domainOf(i), PeerAddress: addressOf(name), State: store.StateLive})
 	}
 	e.table.SetInstances(list)
 	for i := range size {
@@ -102,8 +102,8 @@
 	p.stop = stop
 	p.reach = &reach{Table: e.table}
 	p.view = view.NewView(e.keys, p.domain)
-	p.members = platform.NewMembers(ctx, e.table, nil)
-	p.poller = platform.NewPoller(ctx, platform.NewIntent(p.reach, e.table), p.view, p.members, quiet)
+	p.members = store.NewMembers(ctx, e.table, nil)
+	p.poller = store.NewPoller(ctx, store.NewIntent(p.reach, e.table), p.view, p.members, quiet)
 	self := peer.Self{Instance: p.name, FailureDomain: p.domain, Address: addressOf(p.name)}
 	p.clients = peer.NewClients(peer.NewDialerOn(insecure.NewCredentials, e.network.Dial))
 	p.spread = peer.NewSpread(ctx, self, p.view, p.members, p.clients, quiet, e.metrics)
@@ -138,7 +138,7 @@
 	e.network.Close()
 }
 
-func (e *ensemble) intent() *platform.Intent { return platform.NewIntent(e.table, e.table) }
+func (e *ensemble) intent() *store.Intent { return store.NewIntent(e.table, e.table) }
 
 // content returns a bundle's text of the given version; note makes it differ.
 func (e *ensemble) content(version uint64, note string) []byte {
--- a/internal/proof/intent_test.go
+++ b/internal/proof/intent_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/cicadareel/cicadareel/internal/connection/platform"
+	"github.com/cicadareel/cicadareel/internal/connection/store"
 	"github.com/cicadareel/cicadareel/internal/standin"
 	"github.com/cicadareel/cicadareel/pkg/order"
 )
@@ -114,7 +114,7 @@
 				first, second = second, first
 			}
 			Expect(first).NotTo(HaveOccurred())
-			var conflict *platform.ConflictError
+			var conflict *store.ConflictError
 			Expect(errors.As(second, &conflict)).To(BeTrue())
 		})
 	})
--- a/internal/request/choice/member.go
+++ b/internal/request/choice/member.go
@@ -42,6 +42,12 @@
 	m.up.Store(true)
 }
 
+// Up notes that the endpoint can be reached again.
+func (m *Member) Up() { m.up.Store(true) }
+
+// Known reports whether the member was ever updated.
+func (m *Member) Known() bool { return m.limit.Load() > 0 }
+
 // Down notes that the link has no stream.
 func (m *Member) Down() { m.up.Store(false) }
 
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"strconv"
 
-	"github.com/cicadareel/cicadareel/internal/connection/platform"
+	"github.com/cicadareel/cicadareel/internal/connection/store"
 )
 
 // Handler serves the table, objects, instance list and fault switches.
@@ -57,7 +57,7 @@
 		reply(w, list, err)
 	})
 	mux.HandleFunc("PUT /instances", func(w http.ResponseWriter, r *http.Request) {
-		var list []platform.Instance
+		var list []store.Instance
 		if receive(w, r, &list) {
 			t.SetInstances(list)
 		}
@@ -72,7 +72,7 @@
 }
 
 func reply(w http.ResponseWriter, value any, err error) {
-	var status *platform.StatusError
+	var status *store.StatusError
 	switch {
 	case errors.As(err, &status):
 		w.WriteHeader(status.Status)
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/cicadareel/cicadareel/internal/connection/platform"
+	"github.com/cicadareel/cicadareel/internal/connection/store"
 )
 
 // ErrOutage is returned while a stand-in simulates an outage.
@@ -31,7 +31,7 @@
 	mu        sync.Mutex
 	rows      map[string]table.Row
 	objects   map[string][]byte
-	instances []platform.Instance
+	instances []store.Instance
 	lists     int
 	faults    Faults
 	reads     int
@@ -138,7 +138,7 @@
 	return results
 }
 
-// Put implements platform.Objects.
+// Put implements store.Objects.
 func (t *Table) Put(ctx context.Context, name string, content []byte) error {
 	if _, err := t.enter(ctx); err != nil {
 		return err
@@ -149,7 +149,7 @@
 	return nil
 }
 
-// Fetch implements platform.Objects.
+// Fetch implements store.Objects.
 func (t *Table) Fetch(ctx context.Context, name string) ([]byte, error) {
 	if _, err := t.enter(ctx); err != nil {
 		return nil, err
@@ -158,13 +158,13 @@
 	defer t.mu.Unlock()
 	content, ok := t.objects[name]
 	if !ok {
-		return nil, &platform.StatusError{Status: 404}
+		return nil, &store.StatusError{Status: 404}
 	}
 	return content, nil
 }
 
-// List implements platform.Instances.
-func (t *Table) List(ctx context.Context) ([]platform.Instance, error) {
+// List implements store.Instances.
+func (t *Table) List(ctx context.Context) ([]store.Instance, error) {
 	if _, err := t.enter(ctx); err != nil {
 		return nil, err
 	}
@@ -174,7 +174,7 @@
 }
 
 // SetInstances replaces the instance list.
-func (t *Table) SetInstances(list []platform.Instance) {
+func (t *Table) SetInstances(list []store.Instance) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.instances = list
--- a/internal/system/cluster_test.go
+++ b/internal/system/cluster_test.go
@@ -19,7 +19,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/cicadareel/cicadareel/internal/connection/platform"
+	"github.com/cicadareel/cicadareel/internal/connection/store"
 	"github.com/cicadareel/cicadareel/internal/standin"
 	"github.com/cicadareel/cicadareel/pkg/bundle"
 )
@@ -172,18 +172,18 @@
 }
 
 func (c *cluster) publishInstances() {
-	list := []platform.Instance{}
+	list := []store.Instance{}
 	for i, p := range c.peers {
-		list = append(list, platform.Instance{Name: fmt.Sprint("entry-", i), Role: "entry", FailureDomain: string("ab"[i]),
-			PeerAddress: netip.MustParseAddrPort(p), State: platform.StateLive})
+		list = append(list, store.Instance{Name: fmt.Sprint("entry-", i), Role: "entry", FailureDomain: string("ab"[i]),
+			PeerAddress: netip.MustParseAddrPort(p), State: store.StateLive})
 	}
 	for _, n := range c.nodes {
-		list = append(list, platform.Instance{Name: "sidecar-" + n.name, Role: "sidecar", FailureDomain: n.domain,
-			PeerAddress: netip.MustParseAddrPort(n.relay.Address()), Endpoint: n.name, State: platform.StateLive})
+		list = append(list, store.Instance{Name: "sidecar-" + n.name, Role: "sidecar", FailureDomain: n.domain,
+			PeerAddress: netip.MustParseAddrPort(n.relay.Address()), Endpoint: n.name, State: store.StateLive})
 	}
 	for i := range list {
 		if list[i].Name == c.leaving {
-			list[i].State = platform.StateLeaving
+			list[i].State = store.StateLeaving
 		}
 	}
 	body, err := json.Marshal(list)
--- /dev/null
+++ b/internal/version/mirror/mirror.go
@@ -0,0 +1,239 @@
+// Package mirror holds this process's copy of the tables in the platform's
+// store that it follows. Copies only go forward, whether they come from the
+// store or from another process.
+package mirror
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cicadareel/cicadareel/internal/table"
+)
+
+// Topic names a followed table.
+type Topic string
+
+// Topics.
+const (
+	// Intent holds the operators' configuration and holds.
+	Intent Topic = "intent"
+	// Endpoints holds what the endpoints say of themselves.
+	Endpoints Topic = "endpoints"
+)
+
+// Topics returns every topic.
+func Topics() []Topic { return []Topic{Intent, Endpoints} }
+
+// Snapshot is a whole table at a revision.
+type Snapshot struct {
+	Rows     []table.Row
+	Revision uint64
+}
+
+// Delta is what changed in a table up to a revision.
+type Delta struct {
+	Changed []table.Row
+	// Removed are the keys of rows that are gone.
+	Removed  []string
+	Revision uint64
+}
+
+// lapseGrace is how long an endpoint's row may be missing after the store's
+// return: its writer is then back within about two seconds if it lives.
+const lapseGrace = 2200 * time.Millisecond
+
+// copyOf is the state of one topic.
+type copyOf struct {
+	known    bool
+	revision uint64
+	rows     map[string]table.Row
+	// lapsed holds rows that went while the store was away, with the time until
+	// which they count.
+	lapsed map[string]lapse
+}
+
+type lapse struct {
+	row   table.Row
+	until time.Time
+}
+
+// Mirror is safe for concurrent use.
+type Mirror struct {
+	mu     sync.Mutex
+	topics map[Topic]*copyOf
+	// missed is the time of the last failed call to the store, returned that of
+	// the first good one after it.
+	missed, returned time.Time
+	// away is true from a failed call to the next good one.
+	away bool
+	// changed is closed and replaced with each change.
+	changed chan struct{}
+}
+
+// NewMirror returns a mirror that knows nothing.
+func NewMirror() *Mirror {
+	m := &Mirror{topics: map[Topic]*copyOf{}, changed: make(chan struct{})}
+	for _, t := range Topics() {
+		m.topics[t] = &copyOf{rows: map[string]table.Row{}, lapsed: map[string]lapse{}}
+	}
+	return m
+}
+
+// Missed notes a failed call to the store.
+func (m *Mirror) Missed() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.away, m.missed = true, time.Now()
+}
+
+// Reached notes a good call to the store.
+func (m *Mirror) Reached() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.away {
+		m.away, m.returned = false, time.Now()
+	}
+}
+
+// Away reports whether the last call to the store failed.
+func (m *Mirror) Away() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.away
+}
+
+// Revision returns the revision of a topic's copy, and false before the first.
+func (m *Mirror) Revision(t Topic) (uint64, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.topics[t]
+	return c.revision, c.known
+}
+
+// Snapshot returns the rows of a topic in key order, with lapsed ones until
+// they are swept.
+func (m *Mirror) Snapshot(t Topic) (Snapshot, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.topics[t]
+	s := Snapshot{Revision: c.revision}
+	for _, row := range c.rows {
+		s.Rows = append(s.Rows, row)
+	}
+	for _, l := range c.lapsed {
+		s.Rows = append(s.Rows, l.row)
+	}
+	slices.SortFunc(s.Rows, func(a, b table.Row) int { return strings.Compare(a.Key, b.Key) })
+	return s, c.known
+}
+
+// Replace takes a whole table, unless the copy is as new.
+func (m *Mirror) Replace(t Topic, s Snapshot) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.topics[t]
+	if c.known && s.Revision <= c.revision {
+		return false
+	}
+	kept := map[string]bool{}
+	for _, row := range s.Rows {
+		kept[row.Key] = true
+		c.put(row)
+	}
+	for key := range c.rows {
+		if !kept[key] {
+			m.remove(t, key)
+		}
+	}
+	c.known, c.revision = true, s.Revision
+	m.signal()
+	return true
+}
+
+// Apply takes changes that follow the copy.
+func (m *Mirror) Apply(t Topic, d Delta) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.topics[t]
+	if !c.known || d.Revision <= c.revision {
+		return false
+	}
+	for _, row := range d.Changed {
+		c.put(row)
+	}
+	for _, key := range d.Removed {
+		m.remove(t, key)
+	}
+	c.revision = d.Revision
+	if len(d.Changed)+len(d.Removed) > 0 {
+		m.signal()
+	}
+	return true
+}
+
+func (c *copyOf) put(row table.Row) {
+	if row.Revision >= c.rows[row.Key].Revision {
+		c.rows[row.Key] = row
+		delete(c.lapsed, row.Key)
+	}
+}
+
+// remove drops a row. An endpoint's row that went while the store was away, or
+// just after, counts on for a while.
+func (m *Mirror) remove(t Topic, key string) {
+	c := m.topics[t]
+	row, ok := c.rows[key]
+	delete(c.rows, key)
+	if !ok || t != Endpoints {
+		return
+	}
+	back := m.returned
+	if m.away {
+		back = time.Now()
+	}
+	if until := back.Add(lapseGrace); time.Now().Before(until) {
+		c.lapsed[key] = lapse{row: row, until: until}
+	}
+}
+
+// Sweep forgets lapsed rows whose time is over.
+func (m *Mirror) Sweep() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.away {
+		return
+	}
+	swept := false
+	for _, c := range m.topics {
+		for key, l := range c.lapsed {
+			if until := later(l.until, m.returned.Add(lapseGrace)); !time.Now().Before(until) {
+				delete(c.lapsed, key)
+				swept = true
+			}
+		}
+	}
+	if swept {
+		m.signal()
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+func (m *Mirror) signal() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Changed returns a channel that is closed at the next change.
+func (m *Mirror) Changed() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
--- /dev/null
+++ b/internal/version/roster/roster.go
@@ -0,0 +1,28 @@
+// Package roster describes the endpoints that serve at a moment, where they
+// announce themselves instead of standing in the bundle.
+package roster
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Endpoint is one incarnation of an endpoint.
+type Endpoint struct {
+	// Name is unique among the endpoints of a moment. One that starts again may
+	// keep it.
+	Name          string
+	Group         string
+	FailureDomain string
+	Address       netip.AddrPort
+	// Slots is the number of requests that it runs at once; at least 1.
+	Slots int
+	// Leaving is true once it takes no new work.
+	Leaving bool
+	// ColdFor is how much longer it is cold, counted from Revision's time.
+	ColdFor time.Duration
+	// Born tells incarnations with the same name apart.
+	Born time.Time
+	// Revision is that of the announcement.
+	Revision uint64
+}
