Change expert maps from an entry that holds a lease

Change: the entry that holds a row of the store as a lease samples the choices of one rank of each group, moves few experts, and switches: prepare all, hold a step, arm all, go on. Every order carries a fencing token; an unanswered one is repeated, and a failed switch is undone under a higher token before anything else. A new holder first raises the token at every rank and waits out the age of reports.

Ruled out: waiting for reports between the phases; an answer of 200 already says that the order has taken effect, and the reports are 200 ms old.

--- a/internal/process/entry/deployed.go
+++ b/internal/process/entry/deployed.go
@@ -22,6 +22,8 @@
 	deployedLameDuck = 2500 * time.Millisecond
 	// exitMargin is kept of the grace for ending the process itself.
 	exitMargin = 300 * time.Millisecond
+	// expertsLease names the lease of the process that changes expert maps.
+	expertsLease = "experts"
 	// memoryShare is the part of the memory limit that the runtime aims to stay
 	// under; the rest is for unread bytes and stacks of the system.
 	memoryShare = 0.8
@@ -38,9 +40,12 @@
 	log := events.NewLog(s.LogLevel, s.Instance)
 	dial := tcp.Dialer().DialContext
 	copies := mirror.NewMirror()
-	follower := store.NewFollower(ctx, platform.NewStore(s.Deployment.StoreAddress, dial), copies, log)
+	rows := platform.NewStore(s.Deployment.StoreAddress, dial)
+	follower := store.NewFollower(ctx, rows, copies, log)
 	budgets := retry.NewBudgets(retry.SharedTerms(s.Deployment.RetryRatio, s.Deployment.RetrySlack, s.Deployment.RetryWindow(), entriesUnknown))
 	d := newDirectory(ctx, s, copies, log)
+	lease := store.NewLease(ctx, rows, expertsLease, s.Instance, log)
+	maps := newExperts(ctx, d, lease, log)
 	m.Gauge("cicadareel_log_lines_dropped", "Log lines not written.", log.Dropped)
 	m.Gauge("cicadareel_bundle_version", "Version of the bundle in force.", d.version)
 	return &backing{
@@ -59,6 +64,8 @@
 		close: func() {
 			follower.Wait()
 			d.wait()
+			maps.wait()
+			lease.Wait()
 		},
 	}, nil
 }
--- /dev/null
+++ b/internal/version/expertswitch/recover.go
@@ -0,0 +1,162 @@
+package expertswitch
+
+import (
+	"context"
+	"errors"
+)
+
+// Recovered says what Recover found.
+type Recovered struct {
+	// Version is the map that all ranks use now.
+	Version uint64
+	// Highest is the highest version that any rank knows of.
+	Highest uint64
+	Step    uint64
+	// Repaired is true if a switch was left unfinished.
+	Repaired bool
+}
+
+// Recover ends what an earlier switch, of this or another holder, left behind.
+//
+// It first raises the token at every rank, so that nothing given earlier can
+// take effect any more, and waits until reports show all that did. A rank that
+// is armed for a step which the group has not begun is disarmed while the group
+// is held before that step; without the hold, ranks that are disarmed in time
+// and others that are not would run one step with two maps.
+func (s *Switcher) Recover(ctx context.Context) (Recovered, error) {
+	s.token = s.next()
+	if err := s.raise(ctx); err != nil {
+		return Recovered{}, &PhaseError{Phase: "fence", Cause: err}
+	}
+	pause(ctx, s.reportAge+settleMargin)
+	reports, err := s.reports(ctx)
+	if err != nil {
+		return Recovered{}, &PhaseError{Phase: "report", Cause: err}
+	}
+	repaired, err := s.undo(ctx, reports)
+	if err != nil {
+		return Recovered{}, &PhaseError{Phase: "undo", Cause: err}
+	}
+	return s.summary(reports, repaired)
+}
+
+// raise makes every rank see the token. A rank that objects to the order, for it
+// is held for another step, has seen the token all the same.
+func (s *Switcher) raise(ctx context.Context) error {
+	errs := s.each(func(rank int) error {
+		err := s.give(ctx, rank, Resume{})
+		var objection *ObjectionError
+		if errors.As(err, &objection) {
+			return nil
+		}
+		return err
+	})
+	return errors.Join(errs...)
+}
+
+func (s *Switcher) reports(ctx context.Context) ([]Report, error) {
+	reports := make([]Report, len(s.ranks))
+	errs := s.each(func(rank int) error {
+		bounded, cancel := context.WithTimeout(ctx, 2*orderTimeout)
+		defer cancel()
+		var err error
+		reports[rank], err = s.ranks[rank].Report(bounded)
+		return err
+	})
+	if err := errors.Join(errs...); err != nil {
+		return nil, err
+	}
+	for _, r := range reports {
+		if r.Epoch != s.epoch || !r.Open {
+			return nil, &ChangedError{Group: s.group}
+		}
+	}
+	return reports, nil
+}
+
+// undo disarms every armed rank and ends every hold.
+func (s *Switcher) undo(ctx context.Context, reports []Report) (bool, error) {
+	armed := map[Arming]bool{}
+	held := map[uint64]bool{}
+	for _, r := range reports {
+		if r.Armed != nil {
+			armed[*r.Armed] = true
+		}
+		if r.Held != nil {
+			held[*r.Held] = true
+		}
+	}
+	for a := range armed {
+		if err := s.disarm(ctx, a, held); err != nil {
+			return true, err
+		}
+	}
+	for step := range held {
+		if err := s.all(ctx, func(int) Order { return Resume{Step: step} }); err != nil {
+			return true, err
+		}
+	}
+	return len(armed)+len(held) > 0, nil
+}
+
+// disarm undoes one arming. A step that has begun needs nothing: every rank has
+// switched by then.
+func (s *Switcher) disarm(ctx context.Context, a Arming, held map[uint64]bool) error {
+	if !held[a.Step] {
+		err := s.give(ctx, 0, Hold{Step: a.Step})
+		var objection *ObjectionError
+		if errors.As(err, &objection) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		held[a.Step] = true
+	}
+	err := s.all(ctx, func(int) Order { return Disarm{Version: a.Version} })
+	var objection *ObjectionError
+	if errors.As(err, &objection) {
+		return nil
+	}
+	return err
+}
+
+// summary checks that all ranks use one map.
+func (s *Switcher) summary(reports []Report, repaired bool) (Recovered, error) {
+	out := Recovered{Version: reports[0].Active, Repaired: repaired}
+	for _, r := range reports {
+		out.Highest = max(out.Highest, r.Active, r.Prepared)
+		if r.Armed != nil {
+			out.Highest = max(out.Highest, r.Armed.Version)
+		}
+		out.Step = max(out.Step, r.Step)
+		if r.Active != out.Version {
+			return out, &ChangedError{Group: s.group}
+		}
+	}
+	return out, nil
+}
+
+// Layout reads the layout in use from all ranks.
+func (s *Switcher) Layout(ctx context.Context, layers int) (Layout, error) {
+	l := make(Layout, layers)
+	for i := range l {
+		l[i] = make([][]int32, len(s.ranks))
+	}
+	errs := s.each(func(rank int) error {
+		bounded, cancel := context.WithTimeout(ctx, 2*orderTimeout)
+		defer cancel()
+		experts, err := s.ranks[rank].Experts(bounded)
+		if err != nil {
+			return err
+		}
+		if len(experts) != layers {
+			return &ChangedError{Group: s.group}
+		}
+		for i := range l {
+			l[i][rank] = experts[i]
+		}
+		return nil
+	})
+	return l, errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/version/expertswitch/switcher.go
@@ -0,0 +1,182 @@
+package expertswitch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+const (
+	// orderTimeout bounds one order: several times the way to a rank and back.
+	orderTimeout = 150 * time.Millisecond
+	// orderTries bounds the repetitions of an order without an answer. Each is
+	// lost with about one in three on the worst days that are expected.
+	orderTries = 8
+	// stepMargin is the number of steps from the estimated one to the step of
+	// the switch, so that the hold arrives before it begins.
+	stepMargin = 3
+	// holdTries bounds the later steps that are tried when a hold comes late.
+	holdTries = 3
+	// prepareTries bounds the questions whether a rank is prepared.
+	prepareTries = 12
+	// preparePause is the time between two of them.
+	preparePause = 60 * time.Millisecond
+	// settleMargin is added to the age of reports before they are trusted.
+	settleMargin = 100 * time.Millisecond
+)
+
+// Switcher changes the map of one group in one epoch.
+type Switcher struct {
+	group string
+	ranks []Rank
+	epoch uint64
+	// token is the fencing token in use; next draws a higher one.
+	token uint64
+	next  func() uint64
+	// reportAge is how old reports may be.
+	reportAge time.Duration
+	clock     stepClock
+}
+
+// NewSwitcher returns a switcher for the ranks of a group, in the order of
+// their numbers. next returns a higher fencing token with each call.
+func NewSwitcher(group string, ranks []Rank, epoch uint64, reportAge time.Duration, next func() uint64) *Switcher {
+	return &Switcher{group: group, ranks: ranks, epoch: epoch, token: next(), next: next, reportAge: reportAge}
+}
+
+// Observe notes the step that a rank just reported.
+func (s *Switcher) Observe(step uint64) { s.clock.observe(step, time.Now()) }
+
+// Switch brings all ranks to a layout under the version. If it returns an
+// error, call Recover before anything else.
+func (s *Switcher) Switch(ctx context.Context, version uint64, l Layout, copying time.Duration) error {
+	if err := s.all(ctx, func(int) Order { return Prepare{Version: version, Layout: l} }); err != nil {
+		return &PhaseError{Phase: "prepare", Cause: err}
+	}
+	pause(ctx, copying)
+	step, err := s.hold(ctx)
+	if err != nil {
+		return &PhaseError{Phase: "hold", Cause: err}
+	}
+	if err := s.arm(ctx, Arming{Version: version, Step: step}); err != nil {
+		return &PhaseError{Phase: "arm", Cause: err}
+	}
+	if err := s.resume(ctx, step); err != nil {
+		return &PhaseError{Phase: "resume", Cause: err}
+	}
+	return nil
+}
+
+// hold stops the group before a step soon to come.
+func (s *Switcher) hold(ctx context.Context) (uint64, error) {
+	var err error
+	for try := range holdTries {
+		step := s.clock.at(time.Now()) + stepMargin<<try
+		err = s.give(ctx, 0, Hold{Step: step})
+		var objection *ObjectionError
+		if !errors.As(err, &objection) {
+			return step, err
+		}
+	}
+	return 0, err
+}
+
+// arm arms every rank while the group is held, waiting for those that are not
+// prepared yet.
+func (s *Switcher) arm(ctx context.Context, a Arming) error {
+	errs := s.each(func(rank int) error {
+		var err error
+		for range prepareTries {
+			err = s.give(ctx, rank, Arm{Arming: a})
+			var objection *ObjectionError
+			if !errors.As(err, &objection) {
+				return err
+			}
+			pause(ctx, preparePause)
+		}
+		return err
+	})
+	return errors.Join(errs...)
+}
+
+// resume lets the group go on. It raises the token, so that a hold which is
+// still on its way cannot stop the group again.
+func (s *Switcher) resume(ctx context.Context, step uint64) error {
+	s.token = s.next()
+	return s.give(ctx, 0, Resume{Step: step})
+}
+
+// all gives an order to every rank.
+func (s *Switcher) all(ctx context.Context, order func(rank int) Order) error {
+	return errors.Join(s.each(func(rank int) error { return s.give(ctx, rank, order(rank)) })...)
+}
+
+func (s *Switcher) each(do func(rank int) error) []error {
+	errs := make([]error, len(s.ranks))
+	var calls sync.WaitGroup
+	for rank := range s.ranks {
+		calls.Go(func() { errs[rank] = do(rank) })
+	}
+	calls.Wait()
+	return errs
+}
+
+// give repeats an order until it is answered. All orders have the same effect
+// however often they are carried out before their step.
+func (s *Switcher) give(ctx context.Context, rank int, o Order) error {
+	fence := Fence{Token: s.token, Epoch: s.epoch}
+	var err error
+	for range orderTries {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+		err = s.ranks[rank].Give(bounded, o, fence)
+		cancel()
+		var objection *ObjectionError
+		var fenced *FencedError
+		if err == nil || errors.As(err, &objection) || errors.As(err, &fenced) {
+			return err
+		}
+	}
+	return err
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// stepClock estimates the step that a group is at.
+type stepClock struct {
+	step uint64
+	seen time.Time
+	// pace is the shortest time of a step seen lately; 0 before the second
+	// observation.
+	pace time.Duration
+}
+
+// paceDecay lets an old estimate of the pace grow, so that it follows a group
+// that became slower.
+const paceDecay = 1.1
+
+func (c *stepClock) observe(step uint64, now time.Time) {
+	if step > c.step && !c.seen.IsZero() {
+		pace := now.Sub(c.seen) / time.Duration(step-c.step)
+		if slower := time.Duration(float64(c.pace) * paceDecay); c.pace > 0 {
+			pace = min(pace, slower)
+		}
+		c.pace = pace
+	}
+	c.step, c.seen = step, now
+}
+
+func (c *stepClock) at(now time.Time) uint64 {
+	if c.pace <= 0 {
+		return c.step
+	}
+	return c.step + uint64(now.Sub(c.seen)/c.pace)
+}
--- a/internal/version/roster/roster.go
+++ b/internal/version/roster/roster.go
@@ -23,6 +23,19 @@
 	ColdFor time.Duration
 	// Born tells incarnations with the same name apart.
 	Born time.Time
+	// Place is the rank's place in a lock-step group; nil for other endpoints.
+	Place *Place
 	// Revision is that of the announcement.
 	Revision uint64
 }
+
+// Place is a rank's place in a lock-step group.
+type Place struct {
+	// Group names the group, Epoch its formation.
+	Group string
+	Epoch uint64
+	// Rank is below Size.
+	Rank, Size int
+	// Open is false while the group cannot run.
+	Open bool
+}
