Exchange copies between entries, and take broken groups out of the choice

(4) After a switch the ranks take no further map before its step.

Change: entries exchange mirrors and peers twice a second over their own protocol, starting from the seeds; limits are split between the entries that live. A rank that takes no connections marks its group broken until a report or a row says that it is open; a Retry-After covers stall and forming, and varies. The popularity outlives an epoch, and a group that formed in the holder's own time needs no recovery. A restarted holder takes its own lease at once.

What remains are the seconds after a group returns.

--- a/internal/connection/caller/service.go
+++ b/internal/connection/caller/service.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -132,12 +133,20 @@
 	if _, ok := o.(outcome.Unknown); ok {
 		event = events.RequestUnknown
 	}
-	refusal := Refusal{Outcome: o, RequestID: q.id, RetryAfter: s.Fleet.Backlog(q.group.Name)}
+	refusal := Refusal{Outcome: o, RequestID: q.id, RetryAfter: spread(s.Fleet.Backlog(q.group.Name))}
 	fields["retryAfterMs"] = refusal.RetryAfter.Milliseconds()
 	s.log(q, event, fields)
 	s.refuse(d.delivery.w, refusal)
 }
 
+// returnSpread is the part of a Retry-After by which it varies, so that callers
+// who were refused together do not come back together.
+const returnSpread = 0.25
+
+func spread(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - returnSpread + 2*returnSpread*rand.Float64()))
+}
+
 // log writes what was decided about a request, with the version of the bundle
 // that it was checked against.
 func (s *Service) log(q *request, e events.Event, fields events.Fields) {
--- /dev/null
+++ b/internal/connection/peer/mirrors.go
@@ -0,0 +1,236 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cicadareel/cicadareel/internal/connection/wire"
+	"github.com/cicadareel/cicadareel/internal/events"
+	"github.com/cicadareel/cicadareel/internal/table"
+	"github.com/cicadareel/cicadareel/internal/version/mirror"
+)
+
+const (
+	// mirrorInterval is the time between two exchanges of copies. A copy that one
+	// process got reaches the others within a few of them.
+	mirrorInterval = 500 * time.Millisecond
+	// awayInterval is the same for a process that cannot reach the store.
+	awayInterval = 250 * time.Millisecond
+	// awayPeers is the number of peers that such a process asks each time.
+	awayPeers = 3
+	// peerLife is how long a peer counts after it was last heard.
+	peerLife = 10 * time.Second
+	// peerLimit bounds the peers remembered.
+	peerLimit = 4096
+	// peersTold bounds the peers named in one message.
+	peersTold = 32
+)
+
+// known is a peer and when it was last heard; zero for a seed that never was.
+type known struct {
+	instance string
+	heard    time.Time
+}
+
+// Mirrors exchanges copies of followed tables with peers, so that a process
+// that the store refuses, or that started while the store was away, learns what
+// the others know.
+type Mirrors struct {
+	wire.UnimplementedPeerServer
+
+	self    Self
+	mirror  *mirror.Mirror
+	clients *Clients
+	log     *events.Log
+	done    sync.WaitGroup
+
+	mu    sync.Mutex
+	peers map[netip.AddrPort]known
+	// seeds are asked as well, whenever no peer was heard lately.
+	seeds []netip.AddrPort
+	// told is the number of live peers last logged.
+	told int
+}
+
+// NewMirrors starts exchanging until ctx ends.
+func NewMirrors(ctx context.Context, self Self, seeds []netip.AddrPort, m *mirror.Mirror, c *Clients, l *events.Log) *Mirrors {
+	s := &Mirrors{self: self, mirror: m, clients: c, log: l, seeds: seeds, peers: map[netip.AddrPort]known{}}
+	s.done.Go(func() { s.exchangeLoop(ctx) })
+	return s
+}
+
+// Wait returns after the goroutine has ended.
+func (s *Mirrors) Wait() { s.done.Wait() }
+
+// Live returns the number of processes heard lately, this one included.
+func (s *Mirrors) Live() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return 1 + len(s.live())
+}
+
+func (s *Mirrors) live() []netip.AddrPort {
+	var live []netip.AddrPort
+	for at, k := range s.peers {
+		if time.Since(k.heard) < peerLife {
+			live = append(live, at)
+		}
+	}
+	return live
+}
+
+func (s *Mirrors) exchangeLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait, count := mirrorInterval, 1
+		if s.mirror.Away() {
+			wait, count = awayInterval, awayPeers
+		}
+		var calls sync.WaitGroup
+		for _, at := range s.pick(count) {
+			calls.Go(func() { s.exchange(ctx, at) })
+		}
+		calls.Wait()
+		s.logPeers()
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+// pick returns random live peers, and the seeds while none is known.
+func (s *Mirrors) pick(count int) []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from := s.live()
+	if len(from) == 0 {
+		return s.otherSeeds()
+	}
+	rand.Shuffle(len(from), func(i, j int) { from[i], from[j] = from[j], from[i] })
+	return from[:min(count, len(from))]
+}
+
+func (s *Mirrors) otherSeeds() []netip.AddrPort {
+	var others []netip.AddrPort
+	for _, at := range s.seeds {
+		if at != s.self.Address {
+			others = append(others, at)
+		}
+	}
+	return others
+}
+
+func (s *Mirrors) exchange(ctx context.Context, at netip.AddrPort) {
+	update, err := call(ctx, s.clients, at, exchangeTimeout,
+		func(ctx context.Context, c wire.PeerClient) (*wire.MirrorUpdate, error) {
+			return c.Mirror(ctx, s.summary())
+		})
+	if err != nil {
+		return
+	}
+	s.hear(update.GetSelf(), update.GetPeers())
+	for _, c := range update.GetCopies() {
+		s.adopt(c)
+	}
+}
+
+// adopt takes a newer copy.
+func (s *Mirrors) adopt(c *wire.TableCopy) {
+	snapshot := mirror.Snapshot{Revision: c.GetRevision()}
+	for _, r := range c.GetRows() {
+		snapshot.Rows = append(snapshot.Rows, table.Row{Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision()})
+	}
+	s.mirror.Replace(mirror.Topic(c.GetTopic()), snapshot)
+}
+
+func (s *Mirrors) summary() *wire.MirrorSummary {
+	out := &wire.MirrorSummary{Self: s.info(), Peers: s.tell()}
+	for _, t := range mirror.Topics() {
+		if revision, ok := s.mirror.Revision(t); ok {
+			out.Copies = append(out.Copies, &wire.TableCopy{Topic: string(t), Revision: revision})
+		}
+	}
+	return out
+}
+
+// Mirror implements wire.PeerServer.
+func (s *Mirrors) Mirror(_ context.Context, in *wire.MirrorSummary) (*wire.MirrorUpdate, error) {
+	s.hear(in.GetSelf(), in.GetPeers())
+	theirs := map[mirror.Topic]uint64{}
+	for _, c := range in.GetCopies() {
+		theirs[mirror.Topic(c.GetTopic())] = c.GetRevision()
+	}
+	out := &wire.MirrorUpdate{Self: s.info(), Peers: s.tell()}
+	for _, t := range mirror.Topics() {
+		if revision, ok := s.mirror.Revision(t); ok && revision > theirs[t] {
+			out.Copies = append(out.Copies, s.copyOf(t))
+		}
+	}
+	return out, nil
+}
+
+func (s *Mirrors) copyOf(t mirror.Topic) *wire.TableCopy {
+	snapshot, _ := s.mirror.Snapshot(t)
+	out := &wire.TableCopy{Topic: string(t), Revision: snapshot.Revision}
+	for _, r := range snapshot.Rows {
+		out.Rows = append(out.Rows, &wire.TableRow{Key: r.Key, Value: r.Value, Revision: r.Revision})
+	}
+	return out
+}
+
+func (s *Mirrors) info() *wire.PeerInfo {
+	return &wire.PeerInfo{Instance: s.self.Instance, Address: s.self.Address.String()}
+}
+
+// tell names some live peers with the time since they were heard.
+func (s *Mirrors) tell() []*wire.PeerInfo {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*wire.PeerInfo
+	for _, at := range s.live() {
+		if len(out) == peersTold {
+			break
+		}
+		k := s.peers[at]
+		out = append(out, &wire.PeerInfo{Instance: k.instance, Address: at.String(), Age: DurationToWire(time.Since(k.heard))})
+	}
+	return out
+}
+
+// hear notes a peer that spoke and those that it named.
+func (s *Mirrors) hear(from *wire.PeerInfo, named []*wire.PeerInfo) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.note(from, 0)
+	for _, p := range named {
+		s.note(p, p.GetAge().AsDuration())
+	}
+	for at, k := range s.peers {
+		if time.Since(k.heard) >= peerLife {
+			delete(s.peers, at)
+		}
+	}
+}
+
+func (s *Mirrors) note(p *wire.PeerInfo, age time.Duration) {
+	at, err := netip.ParseAddrPort(p.GetAddress())
+	heard := time.Now().Add(-max(0, age))
+	if err != nil || at == s.self.Address || age >= peerLife || len(s.peers) >= peerLimit {
+		return
+	}
+	if heard.After(s.peers[at].heard) {
+		s.peers[at] = known{instance: p.GetInstance(), heard: heard}
+	}
+}
+
+func (s *Mirrors) logPeers() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n := len(s.live()); n != s.told {
+		s.told = n
+		s.log.Info(events.PeersChanged, events.Fields{"peers": n})
+	}
+}
--- a/internal/connection/store/lease.go
+++ b/internal/connection/store/lease.go
@@ -130,7 +130,8 @@
 	if k.recognise(row, now, ok) {
 		return
 	}
-	if free := !ok || now.Holder == ""; free || k.expired() {
+	// An earlier process of this instance has ended, so its lease is free.
+	if free := !ok || now.Holder == "" || now.Holder == k.holder; free || k.expired() {
 		k.write(ctx)
 	}
 }
--- a/internal/process/entry/deployed.go
+++ b/internal/process/entry/deployed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cicadareel/cicadareel/internal/connection/caller"
+	"github.com/cicadareel/cicadareel/internal/connection/peer"
 	"github.com/cicadareel/cicadareel/internal/connection/store"
 	"github.com/cicadareel/cicadareel/internal/events"
 	"github.com/cicadareel/cicadareel/internal/metrics"
@@ -43,7 +44,12 @@
 	rows := platform.NewStore(s.Deployment.StoreAddress, dial)
 	follower := store.NewFollower(ctx, rows, copies, log)
 	budgets := retry.NewBudgets(retry.SharedTerms(s.Deployment.RetryRatio, s.Deployment.RetrySlack, s.Deployment.RetryWindow(), entriesUnknown))
+	peers, err := newPeers(ctx, s, copies, log)
+	if err != nil {
+		return nil, err
+	}
 	d := newDirectory(ctx, s, copies, log)
+	d.done.Go(func() { shareLoop(ctx, s, peers.mirrors, d, budgets) })
 	lease := store.NewLease(ctx, rows, expertsLease, s.Instance, log)
 	maps := newExperts(ctx, d, lease, log)
 	m.Gauge("cicadareel_log_lines_dropped", "Log lines not written.", log.Dropped)
@@ -66,10 +72,39 @@
 			d.wait()
 			maps.wait()
 			lease.Wait()
+			peers.close()
 		},
 	}, nil
 }
 
+// shareInterval is the time between two looks at the number of entries that
+// share limits.
+const shareInterval = time.Second
+
+// shareLoop splits what all entries together may do between those that live.
+// One more is counted, for an entry that starts is heard a little later.
+func shareLoop(ctx context.Context, s *settings.Settings, m *peer.Mirrors, d *directory, b *retry.Budgets) {
+	ticker := time.NewTicker(shareInterval)
+	defer ticker.Stop()
+	shared := entriesUnknown
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		live := m.Live()
+		if live == 1 {
+			live = entriesUnknown
+		}
+		if entries := live + 1; entries != shared {
+			shared = entries
+			d.entries.Store(int32(entries))
+			b.SetTerms(retry.SharedTerms(s.Deployment.RetryRatio, s.Deployment.RetrySlack, s.Deployment.RetryWindow(), entries))
+		}
+	}
+}
+
 // limitMemory makes the runtime collect garbage before the process reaches its
 // memory limit.
 func limitMemory(s *settings.Settings) {
--- a/internal/process/entry/directory.go
+++ b/internal/process/entry/directory.go
@@ -34,6 +34,9 @@
 	// entries is the number of entries that share limits.
 	entries atomic.Int32
 	done    sync.WaitGroup
+	// life ends with the process; duties are what it started.
+	life   context.Context
+	duties sync.WaitGroup
 
 	mu sync.RWMutex
 	// configured is the revision of the row that the bundle was read from.
@@ -41,6 +44,8 @@
 	nodes      map[string]*worker
 	tables     map[string]*choice.Table
 	held       map[string]bool
+	// groups are the lock-step groups.
+	groups map[string]*rankGroup
 	// announced is true once the endpoints were read.
 	announced bool
 	// refused holds the revisions of rows that could not be read.
@@ -55,6 +60,8 @@
 		nodes:    map[string]*worker{},
 		tables:   map[string]*choice.Table{},
 		held:     map[string]bool{},
+		groups:   map[string]*rankGroup{},
+		life:     ctx,
 		refused:  map[string]uint64{},
 	}
 	d.entries.Store(entriesUnknown)
@@ -62,7 +69,10 @@
 	return d
 }
 
-func (d *directory) wait() { d.done.Wait() }
+func (d *directory) wait() {
+	d.done.Wait()
+	d.duties.Wait()
+}
 
 func (d *directory) followLoop(ctx context.Context) {
 	for {
@@ -189,6 +199,20 @@
 		})
 	}
 	n.update(info)
+	if info.Place != nil {
+		n.join(d.group(info.Place.Group))
+		n.group.announce(*info.Place)
+	}
+}
+
+// group returns the lock-step group with the name.
+func (d *directory) group(name string) *rankGroup {
+	g := d.groups[name]
+	if g == nil {
+		g = &rankGroup{name: name, directory: d}
+		d.groups[name] = g
+	}
+	return g
 }
 
 // rebuild makes the tables to choose from.
@@ -223,8 +247,27 @@
 // Find implements caller.Fleet. No endpoint has a sidecar here.
 func (d *directory) Find(string) (*sidecar.Link, bool) { return nil, false }
 
-// Backlog implements caller.Fleet.
-func (d *directory) Backlog(string) time.Duration { return 0 }
+// Backlog implements caller.Fleet. A group that broke is back when its ranks
+// have noticed the loss and formed again, at the earliest.
+func (d *directory) Backlog(group string) time.Duration {
+	b := d.bundle.Load()
+	if b == nil || b.Group(group) == nil || b.Group(group).Experts == nil {
+		return 0
+	}
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	longest := time.Duration(0)
+	for _, n := range d.nodes {
+		if n.info.Group != group || n.group == nil {
+			continue
+		}
+		if n.group.usable() {
+			return 0
+		}
+		longest = max(longest, d.settings.Deployment.Stall()+b.Group(group).Experts.FormTime+returnMargin)
+	}
+	return longest
+}
 
 // ready reports whether callers can be served.
 func (d *directory) ready() bool {
--- a/internal/process/entry/experts.go
+++ b/internal/process/entry/experts.go
@@ -16,9 +16,14 @@
 )
 
 const (
+	// firstInterval is the time from the first sample to the second.
+	firstInterval = 250 * time.Millisecond
 	// countInterval is the time between two samples of the experts chosen. It is
 	// a few steps long, so that a sample holds many choices.
 	countInterval = 500 * time.Millisecond
+	// groupInterval is the time between two looks for groups that formed anew or
+	// for a lease that was taken.
+	groupInterval = 50 * time.Millisecond
 	// countTimeout bounds one sample.
 	countTimeout = 300 * time.Millisecond
 	// sampleWeight is the weight of a new sample against the ones before: what
@@ -45,10 +50,29 @@
 	lease     *store.Lease
 	log       *events.Log
 	done      sync.WaitGroup
+
+	mu sync.Mutex
+	// known is the last estimate of each group's popularity. It outlives epochs:
+	// what callers ask for does not change because ranks form anew.
+	known map[string]estimate
+	// epochs are the groups' epochs when their care last began.
+	epochs map[string]tenure
+}
+
+// tenure is an epoch of a group in one holder's time.
+type tenure struct{ epoch, fence uint64 }
+
+// estimate is a popularity by layer at a time.
+type estimate struct {
+	popularity [][]float64
+	at         time.Time
 }
 
+// estimateLife is how long an estimate is worth planning from.
+const estimateLife = 10 * time.Second
+
 func newExperts(ctx context.Context, d *directory, k *store.Lease, l *events.Log) *experts {
-	x := &experts{directory: d, lease: k, log: l}
+	x := &experts{directory: d, lease: k, log: l, known: map[string]estimate{}, epochs: map[string]tenure{}}
 	x.done.Go(func() { x.loop(ctx) })
 	return x
 }
@@ -60,7 +84,7 @@
 	var cares sync.WaitGroup
 	defer cares.Wait()
 	running := map[string]context.CancelFunc{}
-	ticker := time.NewTicker(countInterval)
+	ticker := time.NewTicker(groupInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -117,16 +141,24 @@
 
 // care samples, plans and switches one group in one epoch until ctx ends.
 func (x *experts) care(ctx context.Context, g rankSet) {
-	c := &care{experts: x, group: g}
+	c := &care{experts: x, group: g, popularity: x.recall(g)}
 	c.switcher = expertswitch.NewSwitcher(g.name, g.ranks, g.epoch, reportAge, x.lease.NextToken)
-	recovered := false
+	// A group that formed while this process held the lease has the initial map
+	// and no orders of others.
+	recovered := x.formed(g)
+	fresh := recovered
 	for ctx.Err() == nil {
 		var err error
-		if recovered {
+		switch {
+		case fresh:
+			c.begin()
 			err = c.turn(ctx)
-		} else {
+		case recovered:
+			err = c.turn(ctx)
+		default:
 			err = c.recover(ctx)
 		}
+		fresh = false
 		var fenced *expertswitch.FencedError
 		if errors.As(err, &fenced) {
 			x.lease.Lose("a rank has seen a higher fencing token")
@@ -137,8 +169,11 @@
 		}
 		recovered = err == nil
 		wait := countInterval
-		if !recovered {
+		switch {
+		case !recovered:
 			wait = recoverPause
+		case c.popularity == nil:
+			wait = firstInterval
 		}
 		select {
 		case <-ctx.Done():
@@ -147,15 +182,41 @@
 	}
 }
 
+// formed reports whether the group's epoch began while this process held the
+// lease, and takes note of the epoch.
+func (x *experts) formed(g rankSet) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	fence, _ := x.lease.Held()
+	last, ok := x.epochs[g.name]
+	x.epochs[g.name] = tenure{epoch: g.epoch, fence: fence}
+	return ok && last.fence == fence && last.epoch < g.epoch
+}
+
+// recall returns a recent estimate of a group's popularity, or nil.
+func (x *experts) recall(g rankSet) [][]float64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	e, ok := x.known[g.name]
+	if !ok || time.Since(e.at) > estimateLife || len(e.popularity) != g.shape.Layers {
+		return nil
+	}
+	return e.popularity
+}
+
+func (x *experts) remember(g rankSet, popularity [][]float64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.known[g.name] = estimate{popularity: popularity, at: time.Now()}
+}
+
 // care is the state of one group's care.
 type care struct {
 	experts  *experts
 	group    rankSet
 	switcher *expertswitch.Switcher
-	// layers is the layout in use, version its number or that of a later map
-	// that was given up.
-	layers  []expertplan.Holdings
-	version uint64
+	// layers is the layout in use.
+	layers []expertplan.Holdings
 	// chosen are the counts of the last sample, popularity the estimate by layer.
 	chosen     []float64
 	popularity [][]float64
@@ -167,17 +228,13 @@
 	if err != nil {
 		return err
 	}
-	c.version = found.Highest
 	c.switcher.Observe(found.Step)
 	if found.Repaired {
 		c.experts.log.Info(events.MapRepaired, events.Fields{"group": c.group.name, "epoch": c.group.epoch, "step": found.Step})
 	}
+	c.begin()
 	shape := c.group.shape
-	c.layers = make([]expertplan.Holdings, shape.Layers)
 	if found.Version == 0 {
-		for i := range c.layers {
-			c.layers[i] = expertplan.InitialHoldings(c.group.size, shape.PerLayer)
-		}
 		return nil
 	}
 	layout, err := c.switcher.Layout(ctx, shape.Layers)
@@ -190,11 +247,25 @@
 	return nil
 }
 
+// begin takes the layout that a group has when it forms.
+func (c *care) begin() {
+	c.layers = make([]expertplan.Holdings, c.group.shape.Layers)
+	for i := range c.layers {
+		c.layers[i] = expertplan.InitialHoldings(c.group.size, c.group.shape.PerLayer)
+	}
+}
+
 // turn samples once and changes the map if that is worth it.
 func (c *care) turn(ctx context.Context) error {
-	if err := c.sample(ctx); err != nil || c.popularity == nil {
+	if err := c.sample(ctx); err != nil || c.popularity == nil || !c.switcher.Settled() {
 		return err
 	}
+	c.experts.remember(c.group, c.popularity)
+	return c.improve(ctx)
+}
+
+// improve changes the map if that is worth it.
+func (c *care) improve(ctx context.Context) error {
 	before := c.skew(c.layers)
 	if before < changeSkew {
 		return nil
@@ -213,7 +284,6 @@
 }
 
 func (c *care) change(ctx context.Context, next []expertplan.Holdings, before, after float64, loading int) error {
-	c.version++
 	layout := make(expertswitch.Layout, len(next))
 	for i := range next {
 		layout[i] = next[i]
@@ -221,12 +291,12 @@
 	shape := c.group.shape
 	copying := time.Duration(float64(loading) * float64(shape.Bytes) / float64(shape.StoreBytesPerSecond) * float64(time.Second))
 	started := time.Now()
-	if err := c.switcher.Switch(ctx, c.version, layout, copying); err != nil {
+	if err := c.switcher.Switch(ctx, layout, copying); err != nil {
 		return err
 	}
 	c.layers = next
 	c.experts.log.Info(events.MapActivated, events.Fields{
-		"group": c.group.name, "epoch": c.group.epoch, "version": c.version, "loading": loading,
+		"group": c.group.name, "epoch": c.group.epoch, "loading": loading,
 		"skewBefore": before, "skewAfter": after, "tookMs": time.Since(started).Milliseconds(),
 	})
 	return nil
--- /dev/null
+++ b/internal/process/entry/peers.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	"github.com/cicadareel/cicadareel/internal/connection/peer"
+	"github.com/cicadareel/cicadareel/internal/connection/wire"
+	"github.com/cicadareel/cicadareel/internal/events"
+	"github.com/cicadareel/cicadareel/internal/identity"
+	"github.com/cicadareel/cicadareel/internal/process/settings"
+	"github.com/cicadareel/cicadareel/internal/tcp"
+	"github.com/cicadareel/cicadareel/internal/version/mirror"
+)
+
+// peers is the exchange of copies with other entries.
+type peers struct {
+	mirrors *peer.Mirrors
+	clients *peer.Clients
+	server  *grpc.Server
+}
+
+func newPeers(ctx context.Context, s *settings.Settings, m *mirror.Mirror, l *events.Log) (*peers, error) {
+	id, err := identity.NewIdentity(s.TLS)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := tcp.Listen(s.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	self := peer.Self{Instance: s.Instance, FailureDomain: s.FailureDomain, Address: s.PeerAddress}
+	dialer := peer.NewDialerOn(func() credentials.TransportCredentials { return id.Client() },
+		func(ctx context.Context, address string) (net.Conn, error) { return tcp.Dial(ctx, address) })
+	p := &peers{clients: peer.NewClients(dialer), server: peer.NewGRPCServer(id.Server())}
+	p.mirrors = peer.NewMirrors(ctx, self, s.Seeds, m, p.clients, l)
+	wire.RegisterPeerServer(p.server, p.mirrors)
+	go func() {
+		if err := p.server.Serve(listener); err != nil {
+			l.Warn(events.ServeFailed, events.Fields{"error": err.Error()})
+		}
+	}()
+	return p, nil
+}
+
+// close ends the exchange. Calls in progress get a moment.
+func (p *peers) close() {
+	p.mirrors.Wait()
+	stopped := make(chan struct{})
+	go func() {
+		p.server.GracefulStop()
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(exitMargin / 2):
+		p.server.Stop()
+	}
+	p.clients.Close()
+}
--- a/internal/process/entry/worker.go
+++ b/internal/process/entry/worker.go
@@ -27,8 +27,12 @@
 	way       *endpoint.Direct
 	// info is guarded by the directory's lock.
 	info roster.Endpoint
+	// group is the lock-step group of a rank; nil for other endpoints.
+	group *rankGroup
 
 	mu sync.Mutex
+	// isDown is true while the endpoint is out of the choice after a failure.
+	isDown bool
 	// replaced is true once another endpoint answered at the address.
 	replaced bool
 	retired  bool
@@ -42,6 +46,14 @@
 	return w
 }
 
+// join makes the worker a rank of a group.
+func (w *worker) join(g *rankGroup) {
+	if w.group != g {
+		w.group = g
+		w.member.Usable = g.usable
+	}
+}
+
 // update takes a newer announcement.
 func (w *worker) update(info roster.Endpoint) {
 	fresh := info.Revision != w.info.Revision || !w.info.Leaving && info.Leaving
@@ -76,9 +88,12 @@
 
 // Observed implements endpoint.Observer.
 func (w *worker) Observed(e endpoint.Evidence) {
+	if w.group != nil {
+		w.group.observed(e)
+	}
 	switch e.(type) {
 	case endpoint.Absent:
-		w.down("connection refused")
+		w.down("no connection")
 	case endpoint.Replaced:
 		w.mu.Lock()
 		w.replaced = true
@@ -90,7 +105,14 @@
 // down takes the endpoint out of the choice for a while, or for good if another
 // one has its address.
 func (w *worker) down(reason string) {
+	w.mu.Lock()
+	again := w.isDown
+	w.isDown = true
+	w.mu.Unlock()
 	w.member.Down()
+	if again {
+		return
+	}
 	w.directory.log.Info(events.EndpointDown, events.Fields{"endpoint": w.member.Name, "reason": reason})
 	time.AfterFunc(downTime, w.up)
 }
@@ -98,6 +120,7 @@
 func (w *worker) up() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.isDown = false
 	if !w.replaced && !w.retired {
 		w.member.Up()
 	}
--- a/internal/request/choice/member.go
+++ b/internal/request/choice/member.go
@@ -26,6 +26,9 @@
 	// Warmup bounds the requests to a cold endpoint that no gate protects; nil
 	// if a gate does.
 	Warmup *Warmup
+	// Usable reports whether what the endpoint depends on works; nil if it
+	// depends on nothing.
+	Usable func() bool
 }
 
 // NewMember returns a member that is not eligible before its first gate state.
@@ -45,6 +48,9 @@
 // Up notes that the endpoint can be reached again.
 func (m *Member) Up() { m.up.Store(true) }
 
+// IsUp reports whether the endpoint can be reached.
+func (m *Member) IsUp() bool { return m.up.Load() }
+
 // Known reports whether the member was ever updated.
 func (m *Member) Known() bool { return m.limit.Load() > 0 }
 
@@ -61,7 +67,7 @@
 func (m *Member) End() { m.own.Add(-1) }
 
 func (m *Member) eligible() bool {
-	return m.open.Load() && m.up.Load() && !m.held.Load() && (m.Warmup == nil || m.Warmup.Ready())
+	return m.open.Load() && m.up.Load() && !m.held.Load() && (m.Usable == nil || m.Usable()) && (m.Warmup == nil || m.Warmup.Ready())
 }
 
 // Own returns this entry's requests at the endpoint.
--- a/internal/version/expertswitch/recover.go
+++ b/internal/version/expertswitch/recover.go
@@ -9,8 +9,6 @@
 type Recovered struct {
 	// Version is the map that all ranks use now.
 	Version uint64
-	// Highest is the highest version that any rank knows of.
-	Highest uint64
 	Step    uint64
 	// Repaired is true if a switch was left unfinished.
 	Repaired bool
@@ -125,10 +123,6 @@
 func (s *Switcher) summary(reports []Report, repaired bool) (Recovered, error) {
 	out := Recovered{Version: reports[0].Active, Repaired: repaired}
 	for _, r := range reports {
-		out.Highest = max(out.Highest, r.Active, r.Prepared)
-		if r.Armed != nil {
-			out.Highest = max(out.Highest, r.Armed.Version)
-		}
 		out.Step = max(out.Step, r.Step)
 		if r.Active != out.Version {
 			return out, &ChangedError{Group: s.group}
--- a/internal/version/expertswitch/switcher.go
+++ b/internal/version/expertswitch/switcher.go
@@ -37,6 +37,8 @@
 	// reportAge is how old reports may be.
 	reportAge time.Duration
 	clock     stepClock
+	// armed is the step of the last switch; ranks take no other map before it.
+	armed uint64
 }
 
 // NewSwitcher returns a switcher for the ranks of a group, in the order of
@@ -48,9 +50,16 @@
 // Observe notes the step that a rank just reported.
 func (s *Switcher) Observe(step uint64) { s.clock.observe(step, time.Now()) }
 
-// Switch brings all ranks to a layout under the version. If it returns an
-// error, call Recover before anything else.
-func (s *Switcher) Switch(ctx context.Context, version uint64, l Layout, copying time.Duration) error {
+// Settled reports whether the group is seen to have begun the step of the last
+// switch.
+func (s *Switcher) Settled() bool { return s.clock.step >= s.armed }
+
+// Switch brings all ranks to a layout. The map's version is the fencing token,
+// which is higher than those of all earlier maps. If it returns an error, call
+// Recover before anything else.
+func (s *Switcher) Switch(ctx context.Context, l Layout, copying time.Duration) error {
+	s.token = s.next()
+	version := s.token
 	if err := s.all(ctx, func(int) Order { return Prepare{Version: version, Layout: l} }); err != nil {
 		return &PhaseError{Phase: "prepare", Cause: err}
 	}
@@ -62,6 +71,7 @@
 	if err := s.arm(ctx, Arming{Version: version, Step: step}); err != nil {
 		return &PhaseError{Phase: "arm", Cause: err}
 	}
+	s.armed = step
 	if err := s.resume(ctx, step); err != nil {
 		return &PhaseError{Phase: "resume", Cause: err}
 	}
@@ -163,6 +173,10 @@
 // that became slower.
 const paceDecay = 1.1
 
+// fastPace stands in for a pace that is not known yet. A pace too fast makes a
+// switch a little later, one too slow makes it fail.
+const fastPace = 40 * time.Millisecond
+
 func (c *stepClock) observe(step uint64, now time.Time) {
 	if step > c.step && !c.seen.IsZero() {
 		pace := now.Sub(c.seen) / time.Duration(step-c.step)
@@ -175,8 +189,9 @@
 }
 
 func (c *stepClock) at(now time.Time) uint64 {
-	if c.pace <= 0 {
-		return c.step
+	pace := c.pace
+	if pace <= 0 {
+		pace = fastPace
 	}
-	return c.step + uint64(now.Sub(c.seen)/c.pace)
+	return c.step + uint64(now.Sub(c.seen)/pace)
 }
