Trial: bound streams by their pauses

Cause: after a group returns, streams that were refused and broken come back together and all pauses exceed their objective.

--- a/internal/process/entry/directory.go
+++ b/internal/process/entry/directory.go
@@ -233,15 +233,23 @@
 func (d *directory) Choose(group string, q *choice.Query) (caller.Target, bool) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	t := d.tables[group]
-	if t == nil {
+	members := d.tables[group]
+	if members == nil {
 		return caller.Target{}, false
 	}
-	m := t.Choose(q)
+	m := members.Choose(q)
 	if m == nil || !m.Warmup.Take() {
 		return caller.Target{}, false
 	}
-	return caller.Target{Member: m, Way: caller.Direct{Endpoint: d.nodes[m.Name].way}}, true
+	n := d.nodes[m.Name]
+	t := caller.Target{Member: m, Way: caller.Direct{Endpoint: n.way}}
+	if n.group != nil {
+		if !n.group.window.Enter() {
+			return caller.Target{}, false
+		}
+		t.Window = &n.group.window
+	}
+	return t, true
 }
 
 // Find implements caller.Fleet. No endpoint has a sidecar here.
@@ -261,7 +269,7 @@
 		if n.info.Group != group || n.group == nil {
 			continue
 		}
-		if n.group.usable() {
+		if n.group.isOpen() {
 			return 0
 		}
 		longest = max(longest, d.settings.Deployment.Stall()+b.Group(group).Experts.FormTime+returnMargin)
