Revert the window on streams

Cause of the try: streams that come back together after a group's return all miss their pauses.

Ruled out: bounding streams by the pauses that an entry sees, once as it stood and once with a floor and a rest when it is in vain.

--- a/internal/connection/caller/delivery.go
+++ b/internal/connection/caller/delivery.go
@@ -61,10 +61,6 @@
 	status   int
 	// firstByte is the time of the first byte of the body written.
 	firstByte time.Time
-	// lastEvent is the time of the last event of this attempt; zero before it.
-	lastEvent time.Time
-	// pace is told of each pause between events; it may be nil.
-	pace func(pause time.Duration)
 	// offset counts the bytes of the answer written to the caller.
 	offset int64
 	// skip counts the bytes to drop of an attempt that replays from offset 0.
@@ -88,7 +84,6 @@
 // restart prepares for another attempt.
 func (d *delivery) restart() {
 	d.skip = d.offset
-	d.lastEvent = time.Time{}
 	if d.events != nil {
 		d.skip = 0
 		d.events.Restart()
@@ -150,7 +145,9 @@
 func (d *delivery) data(e transport.Data, x transport.Exchange) result {
 	payload, cause := d.fresh(e.Payload)
 	if len(payload) > 0 {
-		d.noteEvent(time.Now())
+		if d.firstByte.IsZero() {
+			d.firstByte = time.Now()
+		}
 		if _, err := d.w.Write(payload); err != nil {
 			return gone{}
 		}
@@ -166,17 +163,6 @@
 	return nil
 }
 
-// noteEvent measures the pause before an event.
-func (d *delivery) noteEvent(now time.Time) {
-	if d.firstByte.IsZero() {
-		d.firstByte = now
-	}
-	if d.pace != nil && !d.lastEvent.IsZero() {
-		d.pace(now.Sub(d.lastEvent))
-	}
-	d.lastEvent = now
-}
-
 // fresh returns the bytes to write.
 func (d *delivery) fresh(payload []byte) ([]byte, error) {
 	if d.events != nil {
--- a/internal/connection/caller/dispatch.go
+++ b/internal/connection/caller/dispatch.go
@@ -36,9 +36,6 @@
 	// resumeWait bounds the time that a stream which has begun waits: callers
 	// give a stream up after two seconds without an event.
 	resumeWait = 2 * time.Second
-	// admissionWait bounds the time that a stream waits for a place: callers give
-	// up after two seconds without an event, of which the first needs some.
-	admissionWait = time.Second
 	// objectiveShare is the part of the objective that a request may wait
 	// before it is refused.
 	objectiveShare = 8
@@ -223,8 +220,6 @@
 		return endpointWait
 	case d.delivery.headSent:
 		return resumeWait
-	case d.request.route.Stream && d.service.Fleet.Backlog(d.request.group.Name) == 0:
-		return admissionWait
 	}
 	return objective / objectiveShare
 }
@@ -241,10 +236,6 @@
 func (d *dispatch) attemptAt(ctx context.Context, a attempt) next {
 	a.target.Member.Begin()
 	defer a.target.Member.End()
-	if w := a.target.Window; w != nil {
-		defer w.Leave()
-		d.delivery.pace = func(pause time.Duration) { w.Observe(pause, d.request.route.GapObjective) }
-	}
 	x, err := d.begin(ctx, a)
 	if err != nil {
 		d.query.Avoid(a.target.Member)
--- a/internal/connection/caller/service.go
+++ b/internal/connection/caller/service.go
@@ -15,7 +15,6 @@
 	"github.com/cicadareel/cicadareel/internal/events"
 	"github.com/cicadareel/cicadareel/internal/metrics"
 	"github.com/cicadareel/cicadareel/internal/outcome"
-	"github.com/cicadareel/cicadareel/internal/request/admission"
 	"github.com/cicadareel/cicadareel/internal/request/choice"
 	"github.com/cicadareel/cicadareel/internal/request/claim"
 	"github.com/cicadareel/cicadareel/internal/request/retry"
@@ -42,9 +41,6 @@
 type Target struct {
 	Member *choice.Member
 	Way    Way
-	// Window holds the place that the attempt takes; nil if places are not
-	// bounded here.
-	Window *admission.Window
 }
 
 // Fleet knows the endpoints.
--- a/internal/process/entry/directory.go
+++ b/internal/process/entry/directory.go
@@ -233,23 +233,15 @@
 func (d *directory) Choose(group string, q *choice.Query) (caller.Target, bool) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	members := d.tables[group]
-	if members == nil {
+	t := d.tables[group]
+	if t == nil {
 		return caller.Target{}, false
 	}
-	m := members.Choose(q)
+	m := t.Choose(q)
 	if m == nil || !m.Warmup.Take() {
 		return caller.Target{}, false
 	}
-	n := d.nodes[m.Name]
-	t := caller.Target{Member: m, Way: caller.Direct{Endpoint: n.way}}
-	if n.group != nil {
-		if !n.group.window.Enter() {
-			return caller.Target{}, false
-		}
-		t.Window = &n.group.window
-	}
-	return t, true
+	return caller.Target{Member: m, Way: caller.Direct{Endpoint: d.nodes[m.Name].way}}, true
 }
 
 // Find implements caller.Fleet. No endpoint has a sidecar here.
@@ -269,7 +261,7 @@
 		if n.info.Group != group || n.group == nil {
 			continue
 		}
-		if n.group.isOpen() {
+		if n.group.usable() {
 			return 0
 		}
 		longest = max(longest, d.settings.Deployment.Stall()+b.Group(group).Experts.FormTime+returnMargin)
--- a/internal/process/entry/rankgroup.go
+++ b/internal/process/entry/rankgroup.go
@@ -7,7 +7,6 @@
 
 	"github.com/cicadareel/cicadareel/internal/connection/endpoint"
 	"github.com/cicadareel/cicadareel/internal/events"
-	"github.com/cicadareel/cicadareel/internal/request/admission"
 	"github.com/cicadareel/cicadareel/internal/version/roster"
 	"github.com/cicadareel/cicadareel/platform"
 )
@@ -28,8 +27,6 @@
 type rankGroup struct {
 	name      string
 	directory *directory
-	// window bounds this entry's streams at the group.
-	window admission.Window
 
 	mu sync.Mutex
 	// epoch is the latest one known to be open.
@@ -42,11 +39,8 @@
 	looking bool
 }
 
-// usable reports whether the group takes work from this entry.
-func (g *rankGroup) usable() bool { return g.isOpen() && g.window.Open() }
-
-// isOpen reports whether the group runs.
-func (g *rankGroup) isOpen() bool {
+// usable reports whether the group takes work.
+func (g *rankGroup) usable() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.broken.IsZero()
@@ -120,12 +114,12 @@
 func (g *rankGroup) announce(p roster.Place) {
 	g.mu.Lock()
 	fresh := p.Epoch > g.epoch
-	runs := p.Open
+	isOpen := p.Open
 	g.mu.Unlock()
 	switch {
-	case runs && fresh:
+	case isOpen && fresh:
 		g.open(p.Epoch, "announced")
-	case !runs && p.Epoch >= g.epoch:
+	case !isOpen && p.Epoch >= g.epoch:
 		g.suspect("announced as broken")
 	}
 }
@@ -144,7 +138,7 @@
 // lookLoop asks ranks for reports until one that was made after the suspicion
 // says that the group is open.
 func (g *rankGroup) lookLoop(ctx context.Context) {
-	for turn := 0; ctx.Err() == nil && !g.isOpen(); turn++ {
+	for turn := 0; ctx.Err() == nil && !g.usable(); turn++ {
 		select {
 		case <-ctx.Done():
 			return
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -121,9 +121,6 @@
 	MaxAttempts int `toml:"maxAttempts"`
 	// Objective is the time in which an answer should begin; 0 if not stated.
 	Objective time.Duration `toml:"-"`
-	// GapObjective is the longest pause between two events of a stream that is on
-	// time; 0 if not stated.
-	GapObjective time.Duration `toml:"-"`
 	// Idempotent routes may be retried after a lost answer.
 	Idempotent bool `toml:"idempotent"`
 	// Splice permits continuing a broken answer with the bytes of another
