--- a/internal/process/entry/experts.go
+++ b/internal/process/entry/experts.go
@@ -31,7 +31,7 @@
 	sampleWeight = 0.6
 	// changeSkew is the skew, averaged over layers, from which on a change is
 	// worth its copies and orders.
-	changeSkew = 1.6
+	changeSkew = 1.5
 	// goalSkew is the skew at which a change stops looking for further moves.
 	goalSkew = 1.3
 	// newPerRank is the number of new experts a rank and layer in one change. One
