Let requests that are late make room for those that can be on time

Cause: after a group's return all callers come back together; ranks served them in the order of arrival, so that fresh requests were late as well.

Change: requests carry an urgency to the endpoint. It falls once the caller has waited longer than the objective, counting the time that its deadline lacks against the route's timeout, and a little for streams that are continued. Priorities of the configuration count the product's way round.

--- a/internal/connection/caller/dispatch.go
+++ b/internal/connection/caller/dispatch.go
@@ -277,6 +277,7 @@
 		Account:     q.account.Name,
 		Deadline:    q.deadline,
 		ResumeAfter: q.resumeAfter,
+		Urgency:     q.urgency(d.delivery.headSent),
 		Stream:      q.route.Stream,
 		Idempotent:  q.route.Idempotent,
 	}
--- a/internal/connection/caller/request.go
+++ b/internal/connection/caller/request.go
@@ -38,9 +38,11 @@
 	version  uint64
 	started  time.Time
 	deadline time.Time
-	method   string
-	host     string
-	target   string
+	// age is how long the caller has waited already, in earlier requests.
+	age    time.Duration
+	method string
+	host   string
+	target string
 	// header holds the fields that are forwarded.
 	header http.Header
 	body   []byte
@@ -63,6 +65,7 @@
 	q.deadline = now.Add(q.route.Timeout)
 	if asked.Timeout > 0 {
 		q.deadline = now.Add(min(asked.Timeout, q.route.Timeout))
+		q.age = max(0, q.route.Timeout-asked.Timeout)
 	}
 	if q.body, err = readBody(w, r, q.route); err != nil {
 		return q, err
@@ -154,4 +157,26 @@
 	return c
 }
 
+const (
+	// lateUrgency and brokenUrgency are added to the urgency of requests that
+	// cannot meet their objective any more, and of streams to be continued.
+	lateUrgency   = 4
+	brokenUrgency = 2
+	leastUrgent   = 9
+)
+
+// urgency orders the request among those that wait at an endpoint, 0 first.
+// Requests that are late already make room for those that can still be on time.
+func (q *request) urgency(continued bool) int {
+	u := leastUrgent - q.route.Priority
+	late := q.route.Objective > 0 && q.age+time.Since(q.started) > q.route.Objective
+	switch {
+	case continued:
+		u += brokenUrgency
+	case late:
+		u += lateUrgency
+	}
+	return min(u, leastUrgent)
+}
+
 func (q *request) remaining() time.Duration { return time.Until(q.deadline) }
--- a/internal/connection/endpoint/direct.go
+++ b/internal/connection/endpoint/direct.go
@@ -28,6 +28,8 @@
 	Deadline time.Time
 	// ResumeAfter is the id of the last event of a stream to be continued.
 	ResumeAfter uint64
+	// Urgency orders requests that wait at the endpoint, 0 first, 9 last.
+	Urgency int
 	// Stream says that the answer is an event stream.
 	Stream bool
 	// Idempotent says that the request may run more than once.
