Relieve slow ranks, hold the next step, and take over without waiting

Cause: (1) a rank twelve times slower made every pass slow, and the map did not know it. (3) A new holder waited 0.3 s for reports before it could look at the map.

Change: the holder asks all ranks for their pace each second; loads of ranks count by it, so that a slow one loses its experts, and other entries learn of it with the copies and send it less. A hold names the next step and is tried again for later ones when late. A takeover reads what the ranks hold, which is fresh, and waits for reports only if a map is at hand; a forgotten hold is ended a little later.

Ruled out: giving slow ranks nothing at all; a rank of pace 12 still spends its own step time, and the group with it.

--- a/internal/connection/peer/mirrors.go
+++ b/internal/connection/peer/mirrors.go
@@ -11,6 +11,7 @@
 	"github.com/cicadareel/cicadareel/internal/events"
 	"github.com/cicadareel/cicadareel/internal/table"
 	"github.com/cicadareel/cicadareel/internal/version/mirror"
+	"github.com/cicadareel/cicadareel/internal/version/pace"
 )
 
 const (
@@ -43,6 +44,7 @@
 
 	self    Self
 	mirror  *mirror.Mirror
+	paces   *pace.Board
 	clients *Clients
 	log     *events.Log
 	done    sync.WaitGroup
@@ -56,8 +58,8 @@
 }
 
 // NewMirrors starts exchanging until ctx ends.
-func NewMirrors(ctx context.Context, self Self, seeds []netip.AddrPort, m *mirror.Mirror, c *Clients, l *events.Log) *Mirrors {
-	s := &Mirrors{self: self, mirror: m, clients: c, log: l, seeds: seeds, peers: map[netip.AddrPort]known{}}
+func NewMirrors(ctx context.Context, self Self, seeds []netip.AddrPort, m *mirror.Mirror, b *pace.Board, c *Clients, l *events.Log) *Mirrors {
+	s := &Mirrors{self: self, mirror: m, paces: b, clients: c, log: l, seeds: seeds, peers: map[netip.AddrPort]known{}}
 	s.done.Go(func() { s.exchangeLoop(ctx) })
 	return s
 }
@@ -135,6 +137,9 @@
 	for _, c := range update.GetCopies() {
 		s.adopt(c)
 	}
+	for _, n := range update.GetPaces() {
+		s.paces.Put(pace.Note{Endpoint: n.GetEndpoint(), Pace: n.GetPace(), At: time.Now().Add(-n.GetAge().AsDuration())})
+	}
 }
 
 // adopt takes a newer copy.
@@ -164,6 +169,9 @@
 		theirs[mirror.Topic(c.GetTopic())] = c.GetRevision()
 	}
 	out := &wire.MirrorUpdate{Self: s.info(), Peers: s.tell()}
+	for _, n := range s.paces.Slow() {
+		out.Paces = append(out.Paces, &wire.EndpointPace{Endpoint: n.Endpoint, Pace: n.Pace, Age: DurationToWire(time.Since(n.At))})
+	}
 	for _, t := range mirror.Topics() {
 		if revision, ok := s.mirror.Revision(t); ok && revision > theirs[t] {
 			out.Copies = append(out.Copies, s.copyOf(t))
--- a/internal/process/entry/deployed.go
+++ b/internal/process/entry/deployed.go
@@ -14,6 +14,7 @@
 	"github.com/cicadareel/cicadareel/internal/request/retry"
 	"github.com/cicadareel/cicadareel/internal/tcp"
 	"github.com/cicadareel/cicadareel/internal/version/mirror"
+	"github.com/cicadareel/cicadareel/internal/version/pace"
 	"github.com/cicadareel/cicadareel/platform"
 )
 
@@ -41,14 +42,15 @@
 	log := events.NewLog(s.LogLevel, s.Instance)
 	dial := tcp.Dialer().DialContext
 	copies := mirror.NewMirror()
+	paces := pace.NewBoard()
 	rows := platform.NewStore(s.Deployment.StoreAddress, dial)
 	follower := store.NewFollower(ctx, rows, copies, log)
 	budgets := retry.NewBudgets(retry.SharedTerms(s.Deployment.RetryRatio, s.Deployment.RetrySlack, s.Deployment.RetryWindow(), entriesUnknown))
-	peers, err := newPeers(ctx, s, copies, log)
+	peers, err := newPeers(ctx, s, copies, paces, log)
 	if err != nil {
 		return nil, err
 	}
-	d := newDirectory(ctx, s, copies, log)
+	d := newDirectory(ctx, s, copies, paces, log)
 	d.done.Go(func() { shareLoop(ctx, s, peers.mirrors, d, budgets) })
 	lease := store.NewLease(ctx, rows, expertsLease, s.Instance, log)
 	maps := newExperts(ctx, d, lease, log)
--- a/internal/process/entry/directory.go
+++ b/internal/process/entry/directory.go
@@ -15,6 +15,7 @@
 	"github.com/cicadareel/cicadareel/internal/table"
 	"github.com/cicadareel/cicadareel/internal/tcp"
 	"github.com/cicadareel/cicadareel/internal/version/mirror"
+	"github.com/cicadareel/cicadareel/internal/version/pace"
 	"github.com/cicadareel/cicadareel/internal/version/roster"
 	"github.com/cicadareel/cicadareel/pkg/bundle"
 	"github.com/cicadareel/cicadareel/platform"
@@ -29,6 +30,7 @@
 type directory struct {
 	settings *settings.Settings
 	mirror   *mirror.Mirror
+	paces    *pace.Board
 	log      *events.Log
 	bundle   atomic.Pointer[bundle.Bundle]
 	// entries is the number of entries that share limits.
@@ -52,10 +54,11 @@
 	refused map[string]uint64
 }
 
-func newDirectory(ctx context.Context, s *settings.Settings, m *mirror.Mirror, l *events.Log) *directory {
+func newDirectory(ctx context.Context, s *settings.Settings, m *mirror.Mirror, b *pace.Board, l *events.Log) *directory {
 	d := &directory{
 		settings: s,
 		mirror:   m,
+		paces:    b,
 		log:      l,
 		nodes:    map[string]*worker{},
 		tables:   map[string]*choice.Table{},
--- a/internal/process/entry/experts.go
+++ b/internal/process/entry/experts.go
@@ -11,13 +11,17 @@
 	"github.com/cicadareel/cicadareel/internal/events"
 	"github.com/cicadareel/cicadareel/internal/version/expertplan"
 	"github.com/cicadareel/cicadareel/internal/version/expertswitch"
+	"github.com/cicadareel/cicadareel/internal/version/pace"
 	"github.com/cicadareel/cicadareel/pkg/bundle"
 	"github.com/cicadareel/cicadareel/platform"
 )
 
 const (
-	// firstInterval is the time from the first sample to the second.
-	firstInterval = 250 * time.Millisecond
+	// firstInterval is the time from the first sample to the second. Reports show
+	// by then what was in effect at the first.
+	firstInterval = reportAge + 100*time.Millisecond
+	// lookEvery is the time between two looks at the pace of all ranks.
+	lookEvery = time.Second
 	// countInterval is the time between two samples of the experts chosen. It is
 	// a few steps long, so that a sample holds many choices.
 	countInterval = 500 * time.Millisecond
@@ -172,7 +176,7 @@
 		switch {
 		case !recovered:
 			wait = recoverPause
-		case c.popularity == nil:
+		case c.popularity == nil || !c.recovered.IsZero():
 			wait = firstInterval
 		}
 		select {
@@ -220,31 +224,65 @@
 	// chosen are the counts of the last sample, popularity the estimate by layer.
 	chosen     []float64
 	popularity [][]float64
+	// slowness is that of each rank at the last look, made at looked.
+	slowness []float64
+	looked   time.Time
+	// recovered is the time of a recovery after which holds may still show.
+	recovered time.Time
 }
 
 // recover learns the map in use.
 func (c *care) recover(ctx context.Context) error {
-	found, err := c.switcher.Recover(ctx)
+	found, err := c.switcher.Recover(ctx, c.group.shape.Layers)
 	if err != nil {
 		return err
 	}
-	c.switcher.Observe(found.Step)
 	if found.Repaired {
-		c.experts.log.Info(events.MapRepaired, events.Fields{"group": c.group.name, "epoch": c.group.epoch, "step": found.Step})
+		c.experts.log.Info(events.MapRepaired, events.Fields{"group": c.group.name, "epoch": c.group.epoch})
 	}
-	c.begin()
-	shape := c.group.shape
-	if found.Version == 0 {
+	c.layers = make([]expertplan.Holdings, len(found.Layout))
+	for i := range c.layers {
+		c.layers[i] = found.Layout[i]
+	}
+	c.recovered = time.Now()
+	return c.sample(ctx)
+}
+
+// unhold ends a hold that an earlier holder left, once reports would show it.
+func (c *care) unhold(ctx context.Context) error {
+	if c.recovered.IsZero() {
 		return nil
 	}
-	layout, err := c.switcher.Layout(ctx, shape.Layers)
-	if err != nil {
-		return err
+	c.recovered = time.Time{}
+	repaired, err := c.switcher.Unhold(ctx)
+	if repaired {
+		c.experts.log.Info(events.MapRepaired, events.Fields{"group": c.group.name, "epoch": c.group.epoch})
 	}
-	for i := range c.layers {
-		c.layers[i] = layout[i]
+	return err
+}
+
+// look asks all ranks how slow they are.
+func (c *care) look(ctx context.Context) {
+	if time.Since(c.looked) < lookEvery {
+		return
 	}
-	return nil
+	c.looked = time.Now()
+	bounded, cancel := context.WithTimeout(ctx, countTimeout)
+	defer cancel()
+	slowness := make([]float64, len(c.group.ranks))
+	var calls sync.WaitGroup
+	for i, r := range c.group.ranks {
+		calls.Go(func() {
+			slowness[i] = 1
+			report, err := r.Report(bounded)
+			if err == nil && report.Pace > 0 {
+				slowness[i] = report.Pace
+				c.experts.directory.paces.Put(pace.Note{Endpoint: r.Name(), Pace: report.Pace, At: time.Now()})
+			}
+		})
+	}
+	calls.Wait()
+	c.slowness = slowness
 }
 
 // begin takes the layout that a group has when it forms.
@@ -257,6 +295,10 @@
 
 // turn samples once and changes the map if that is worth it.
 func (c *care) turn(ctx context.Context) error {
+	if err := c.unhold(ctx); err != nil {
+		return err
+	}
+	c.look(ctx)
 	if err := c.sample(ctx); err != nil || c.popularity == nil || !c.switcher.Settled() {
 		return err
 	}
@@ -272,7 +314,7 @@
 	}
 	next := make([]expertplan.Holdings, len(c.layers))
 	most := 0
-	limits := expertplan.Limits{Places: c.group.shape.SlotsPerRank, New: min(newPerRank, c.group.shape.NewPerRank), Goal: goalSkew}
+	limits := expertplan.Limits{Places: c.group.shape.SlotsPerRank, New: min(newPerRank, c.group.shape.NewPerRank), Goal: goalSkew, Slowness: c.slowness}
 	loading := 0
 	for i, h := range c.layers {
 		next[i] = expertplan.Relieve(h, c.popularity[i], limits)
@@ -306,7 +348,7 @@
 func (c *care) skew(layers []expertplan.Holdings) float64 {
 	sum := 0.0
 	for i, h := range layers {
-		sum += h.Skew(c.popularity[i])
+		sum += h.Skew(c.popularity[i], c.slowness)
 	}
 	return sum / float64(len(layers))
 }
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -15,6 +15,7 @@
 	"github.com/cicadareel/cicadareel/internal/process/settings"
 	"github.com/cicadareel/cicadareel/internal/tcp"
 	"github.com/cicadareel/cicadareel/internal/version/mirror"
+	"github.com/cicadareel/cicadareel/internal/version/pace"
 )
 
 // peers is the exchange of copies with other entries.
@@ -24,7 +25,7 @@
 	server  *grpc.Server
 }
 
-func newPeers(ctx context.Context, s *settings.Settings, m *mirror.Mirror, l *events.Log) (*peers, error) {
+func newPeers(ctx context.Context, s *settings.Settings, m *mirror.Mirror, b *pace.Board, l *events.Log) (*peers, error) {
 	id, err := identity.NewIdentity(s.TLS)
 	if err != nil {
 		return nil, err
@@ -37,7 +38,7 @@
 	dialer := peer.NewDialerOn(func() credentials.TransportCredentials { return id.Client() },
 		func(ctx context.Context, address string) (net.Conn, error) { return tcp.Dial(ctx, address) })
 	p := &peers{clients: peer.NewClients(dialer), server: peer.NewGRPCServer(id.Server())}
-	p.mirrors = peer.NewMirrors(ctx, self, s.Seeds, m, p.clients, l)
+	p.mirrors = peer.NewMirrors(ctx, self, s.Seeds, m, b, p.clients, l)
 	wire.RegisterPeerServer(p.server, p.mirrors)
 	go func() {
 		if err := p.server.Serve(listener); err != nil {
--- a/internal/request/choice/member.go
+++ b/internal/request/choice/member.go
@@ -29,6 +29,9 @@
 	// Usable reports whether what the endpoint depends on works; nil if it
 	// depends on nothing.
 	Usable func() bool
+	// Slowness returns the endpoint's time for its work as a multiple of the
+	// usual; nil if it does not say.
+	Slowness func() float64
 }
 
 // NewMember returns a member that is not eligible before its first gate state.
@@ -81,5 +84,9 @@
 
 // load is the estimated work per unit of limit, including one more request.
 func (m *Member) load() float64 {
-	return (m.working() + 1) / float64(max(1, m.limit.Load()))
+	load := (m.working() + 1) / float64(max(1, m.limit.Load()))
+	if m.Slowness != nil {
+		load *= m.Slowness()
+	}
+	return load
 }
--- a/internal/version/expertplan/relief.go
+++ b/internal/version/expertplan/relief.go
@@ -14,6 +14,9 @@
 	New int
 	// Goal is the skew at which no further move is made.
 	Goal float64
+	// Slowness is each rank's time for its work as a multiple of the usual; nil
+	// if all are alike.
+	Slowness []float64
 }
 
 // InitialHoldings deals the experts to the ranks in turn.
@@ -25,9 +28,10 @@
 	return h
 }
 
-// Skew returns the highest load of a rank divided by the mean.
-func (h Holdings) Skew(popularity []float64) float64 {
-	return Skew(newRelief(h, popularity, Limits{}).loads)
+// Skew returns the highest load of a rank, weighted by its slowness, divided by
+// the mean load.
+func (h Holdings) Skew(popularity, slowness []float64) float64 {
+	return newRelief(h, popularity, Limits{Slowness: slowness}).skew()
 }
 
 // NewExperts returns the largest number of experts that the change to next
@@ -52,7 +56,7 @@
 func Relieve(h Holdings, popularity []float64, l Limits) Holdings {
 	s := newRelief(h, popularity, l)
 	for range len(popularity) {
-		if Skew(s.loads) <= l.Goal || !s.step() {
+		if s.skew() <= l.Goal || !s.step() {
 			break
 		}
 	}
@@ -94,11 +98,30 @@
 	s.loads = make([]float64, len(s.holdings))
 	for r, experts := range s.holdings {
 		for _, e := range experts {
-			s.loads[r] += s.share(e)
+			s.loads[r] += s.at(r, s.share(e))
 		}
 	}
 }
 
+// at returns the load that work is for a rank.
+func (s *relief) at(r int, work float64) float64 {
+	if s.limits.Slowness == nil {
+		return work
+	}
+	return work * s.limits.Slowness[r]
+}
+
+func (s *relief) skew() float64 {
+	work := 0.0
+	for _, p := range s.popularity {
+		work += p
+	}
+	if work == 0 {
+		return 1
+	}
+	return slices.Max(s.loads) * float64(len(s.loads)) / work
+}
+
 // share is the load of one copy of the expert.
 func (s *relief) share(e int32) float64 { return s.popularity[e] / float64(s.copies[e]) }
 
@@ -141,13 +164,7 @@
 	if s.copies[e] < 2 {
 		return
 	}
-	rise := s.popularity[e]/float64(s.copies[e]-1) - s.share(e)
-	peak := s.loads[hot] - s.share(e)
-	for r, experts := range s.holdings {
-		if r != hot && slices.Contains(experts, e) {
-			peak = max(peak, s.loads[r]+rise)
-		}
-	}
+	peak := max(s.loads[hot]-s.at(hot, s.share(e)), s.heirs(e, hot))
 	if peak < best.peak {
 		*best = move{expert: e, rank: nobody, victim: none, peak: peak}
 	}
@@ -167,9 +184,11 @@
 		return
 	}
 	after := s.popularity[e] / float64(s.copies[e]+1)
-	peak := max(s.loads[hot]-s.share(e)+after, s.loads[r]+after)
+	hotAfter := s.loads[hot] - s.at(hot, s.share(e)-after)
+	rankAfter := s.loads[r] + s.at(r, after)
+	peak := max(hotAfter, rankAfter)
 	if victim != none {
-		peak = max(peak-s.share(victim), s.loads[hot]-s.share(e)+after, s.heirs(victim, r))
+		peak = max(hotAfter, rankAfter-s.at(r, s.share(victim)), s.heirs(victim, r))
 	}
 	if peak < best.peak {
 		*best = move{expert: e, rank: r, victim: victim, peak: peak}
@@ -197,7 +216,7 @@
 	peak := 0.0
 	for r, experts := range s.holdings {
 		if r != from && slices.Contains(experts, e) {
-			peak = max(peak, s.loads[r]+rise)
+			peak = max(peak, s.loads[r]+s.at(r, rise))
 		}
 	}
 	return peak
--- a/internal/version/expertswitch/orders.go
+++ b/internal/version/expertswitch/orders.go
@@ -35,6 +35,9 @@
 	Armed *Arming
 	// Held is the step that the group does not begin; nil if there is none.
 	Held *uint64
+	// Pace is the rank's time for its work as a multiple of the usual; 0 if not
+	// reported.
+	Pace float64
 }
 
 // Counts are how often the requests of a rank chose each expert.
@@ -45,6 +48,16 @@
 	Chosen []float64
 }
 
+// Possession is what a rank holds at the moment of the answer.
+type Possession struct {
+	// Active is the version of the map in use, 0 for the initial one.
+	Active uint64
+	// Layers lists the rank's experts in that map, layer by layer.
+	Layers [][]int32
+	// Preparing is true if another map is being loaded or is loaded.
+	Preparing bool
+}
+
 // Order is what a rank is told: Prepare, Hold, Arm, Disarm or Resume.
 type Order interface{ isOrder() }
 
@@ -89,8 +102,8 @@
 	Name() string
 	Report(ctx context.Context) (Report, error)
 	Counts(ctx context.Context) (Counts, error)
-	// Experts returns the experts that the rank holds in each layer.
-	Experts(ctx context.Context) ([][]int32, error)
+	// Experts returns what the rank holds now.
+	Experts(ctx context.Context) (Possession, error)
 	Give(ctx context.Context, o Order, f Fence) error
 }
 
--- a/internal/version/expertswitch/recover.go
+++ b/internal/version/expertswitch/recover.go
@@ -7,25 +7,30 @@
 
 // Recovered says what Recover found.
 type Recovered struct {
-	// Version is the map that all ranks use now.
-	Version uint64
-	Step    uint64
+	// Layout is the one that all ranks use now.
+	Layout Layout
 	// Repaired is true if a switch was left unfinished.
 	Repaired bool
 }
 
-// Recover ends what an earlier switch, of this or another holder, left behind.
+// Recover ends what an earlier switch, of this or another holder, left behind,
+// and learns the layout in use.
 //
 // It first raises the token at every rank, so that nothing given earlier can
-// take effect any more, and waits until reports show all that did. A rank that
-// is armed for a step which the group has not begun is disarmed while the group
-// is held before that step; without the hold, ranks that are disarmed in time
-// and others that are not would run one step with two maps.
-func (s *Switcher) Recover(ctx context.Context) (Recovered, error) {
+// take effect any more. If no rank has another map prepared then, none can be
+// armed. Else it waits until reports show all that took effect. A rank that is
+// armed for a step which the group has not begun is disarmed while the group is
+// held before that step; without the hold, ranks that are disarmed in time and
+// others that are not would run one step with two maps.
+func (s *Switcher) Recover(ctx context.Context, layers int) (Recovered, error) {
 	s.token = s.next()
 	if err := s.raise(ctx); err != nil {
 		return Recovered{}, &PhaseError{Phase: "fence", Cause: err}
 	}
+	layout, quiet, err := s.possessions(ctx, layers)
+	if err == nil && quiet {
+		return Recovered{Layout: layout}, nil
+	}
 	pause(ctx, s.reportAge+settleMargin)
 	reports, err := s.reports(ctx)
 	if err != nil {
@@ -35,7 +40,20 @@
 	if err != nil {
 		return Recovered{}, &PhaseError{Phase: "undo", Cause: err}
 	}
-	return s.summary(reports, repaired)
+	layout, _, err = s.possessions(ctx, layers)
+	if err != nil {
+		return Recovered{}, &PhaseError{Phase: "layout", Cause: err}
+	}
+	return Recovered{Layout: layout, Repaired: repaired}, nil
+}
+
+// Unhold ends a hold that an earlier holder left behind without arming anybody.
+func (s *Switcher) Unhold(ctx context.Context) (bool, error) {
+	reports, err := s.reports(ctx)
+	if err != nil {
+		return false, err
+	}
+	return s.undo(ctx, reports)
 }
 
 // raise makes every rank see the token. A rank that objects to the order, for it
@@ -119,38 +137,30 @@
 	return err
 }
 
-// summary checks that all ranks use one map.
-func (s *Switcher) summary(reports []Report, repaired bool) (Recovered, error) {
-	out := Recovered{Version: reports[0].Active, Repaired: repaired}
-	for _, r := range reports {
-		out.Step = max(out.Step, r.Step)
-		if r.Active != out.Version {
-			return out, &ChangedError{Group: s.group}
-		}
-	}
-	return out, nil
-}
-
-// Layout reads the layout in use from all ranks.
-func (s *Switcher) Layout(ctx context.Context, layers int) (Layout, error) {
-	l := make(Layout, layers)
-	for i := range l {
-		l[i] = make([][]int32, len(s.ranks))
-	}
+// possessions reads the layout in use from all ranks. It reports whether no
+// rank has another map at hand.
+func (s *Switcher) possessions(ctx context.Context, layers int) (Layout, bool, error) {
+	found := make([]Possession, len(s.ranks))
 	errs := s.each(func(rank int) error {
 		bounded, cancel := context.WithTimeout(ctx, 2*orderTimeout)
 		defer cancel()
-		experts, err := s.ranks[rank].Experts(bounded)
-		if err != nil {
-			return err
-		}
-		if len(experts) != layers {
-			return &ChangedError{Group: s.group}
+		var err error
+		found[rank], err = s.ranks[rank].Experts(bounded)
+		return err
+	})
+	if err := errors.Join(errs...); err != nil {
+		return nil, false, err
+	}
+	l := make(Layout, layers)
+	quiet := true
+	for _, p := range found {
+		if p.Active != found[0].Active || len(p.Layers) != layers {
+			return nil, false, &ChangedError{Group: s.group}
 		}
+		quiet = quiet && !p.Preparing
 		for i := range l {
-			l[i][rank] = experts[i]
+			l[i] = append(l[i], p.Layers[i])
 		}
-		return nil
-	})
-	return l, errors.Join(errs...)
+	}
+	return l, quiet, nil
 }
--- a/internal/version/expertswitch/switcher.go
+++ b/internal/version/expertswitch/switcher.go
@@ -13,11 +13,9 @@
 	// orderTries bounds the repetitions of an order without an answer. Each is
 	// lost with about one in three on the worst days that are expected.
 	orderTries = 8
-	// stepMargin is the number of steps from the estimated one to the step of
-	// the switch, so that the hold arrives before it begins.
-	stepMargin = 3
-	// holdTries bounds the later steps that are tried when a hold comes late.
-	holdTries = 3
+	// holdTries bounds the later steps that are tried when a hold comes late. The
+	// last is 32 steps away.
+	holdTries = 6
 	// prepareTries bounds the questions whether a rank is prepared.
 	prepareTries = 12
 	// preparePause is the time between two of them.
@@ -78,11 +76,16 @@
 	return nil
 }
 
-// hold stops the group before a step soon to come.
+// hold stops the group before a step soon to come. A hold that comes too late
+// is refused and tried for a later step; one for a step far away would keep the
+// switch waiting on slow ranks.
 func (s *Switcher) hold(ctx context.Context) (uint64, error) {
-	var err error
+	now, err := s.stepNow(ctx)
+	if err != nil {
+		return 0, err
+	}
 	for try := range holdTries {
-		step := s.clock.at(time.Now()) + stepMargin<<try
+		step := now + 1<<try
 		err = s.give(ctx, 0, Hold{Step: step})
 		var objection *ObjectionError
 		if !errors.As(err, &objection) {
@@ -92,6 +95,20 @@
 	return 0, err
 }
 
+// stepNow estimates the step that the group is at.
+func (s *Switcher) stepNow(ctx context.Context) (uint64, error) {
+	bounded, cancel := context.WithTimeout(ctx, 2*orderTimeout)
+	defer cancel()
+	report, err := s.ranks[0].Report(bounded)
+	if err != nil {
+		return 0, err
+	}
+	if report.Epoch != s.epoch || !report.Open {
+		return 0, &ChangedError{Group: s.group}
+	}
+	return s.clock.since(report.Step, time.Now().Add(-s.reportAge)), nil
+}
+
 // arm arms every rank while the group is held, waiting for those that are not
 // prepared yet.
 func (s *Switcher) arm(ctx context.Context, a Arming) error {
@@ -160,38 +177,33 @@
 	}
 }
 
-// stepClock estimates the step that a group is at.
+// stepClock measures the time of a step.
 type stepClock struct {
 	step uint64
 	seen time.Time
-	// pace is the shortest time of a step seen lately; 0 before the second
-	// observation.
+	// pace is the time of a step between the last two observations; 0 before
+	// the second.
 	pace time.Duration
 }
 
-// paceDecay lets an old estimate of the pace grow, so that it follows a group
-// that became slower.
-const paceDecay = 1.1
-
-// fastPace stands in for a pace that is not known yet. A pace too fast makes a
-// switch a little later, one too slow makes it fail.
-const fastPace = 40 * time.Millisecond
-
 func (c *stepClock) observe(step uint64, now time.Time) {
 	if step > c.step && !c.seen.IsZero() {
-		pace := now.Sub(c.seen) / time.Duration(step-c.step)
-		if slower := time.Duration(float64(c.pace) * paceDecay); c.pace > 0 {
-			pace = min(pace, slower)
-		}
-		c.pace = pace
+		c.pace = now.Sub(c.seen) / time.Duration(step-c.step)
+	}
+	if step != c.step || c.seen.IsZero() {
+		c.step, c.seen = step, now
 	}
-	c.step, c.seen = step, now
 }
 
-func (c *stepClock) at(now time.Time) uint64 {
+// since returns the step that a group is at if it was at the given one then. The
+// pace is that since the last observation, if any step was made.
+func (c *stepClock) since(step uint64, then time.Time) uint64 {
 	pace := c.pace
+	if age := then.Sub(c.seen); !c.seen.IsZero() && age > pace {
+		pace = max(pace, age/time.Duration(max(1, int64(step)-int64(c.step))))
+	}
 	if pace <= 0 {
-		pace = fastPace
+		return step
 	}
-	return c.step + uint64(now.Sub(c.seen)/pace)
+	return step + uint64(time.Since(then)/pace)
 }
