--- a/internal/process/entry/backing.go
+++ b/internal/process/entry/backing.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cicadareel/cicadareel/internal/connection/caller"
+	"github.com/cicadareel/cicadareel/internal/connection/store"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
 	"github.com/cicadareel/cicadareel/internal/process"
 	"github.com/cicadareel/cicadareel/internal/process/settings"
@@ -25,6 +26,8 @@
 	shutdown time.Duration
 	// reload takes settings that changed; nil if the process must restart.
 	reload func(*settings.Settings)
+	// lease is that of expert maps; nil without one.
+	lease *store.Lease
 	// close ends the duties.
 	close func()
 }
--- a/internal/process/entry/deployed.go
+++ b/internal/process/entry/deployed.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/netip"
 	"runtime/debug"
 	"time"
 
@@ -31,26 +33,34 @@
 	memoryShare = 0.8
 )
 
+// network is how a process reaches others and is reached.
+type network struct {
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	listen func(at netip.AddrPort) (net.Listener, error)
+}
+
+// tcpNetwork is the machine's own.
+func tcpNetwork() network { return network{dial: tcp.Dialer().DialContext, listen: tcp.Listen} }
+
 // newDeployed backs an entry by the platform's store and by endpoints that
 // announce themselves there.
-func newDeployed(ctx context.Context, s *settings.Settings) (*backing, error) {
+func newDeployed(ctx context.Context, s *settings.Settings, n network) (*backing, error) {
 	m, err := metrics.NewMetrics()
 	if err != nil {
 		return nil, err
 	}
 	limitMemory(s)
 	log := events.NewLog(s.LogLevel, s.Instance)
-	dial := tcp.Dialer().DialContext
 	copies := mirror.NewMirror()
 	paces := pace.NewBoard()
-	rows := platform.NewStore(s.Deployment.StoreAddress, dial)
+	rows := platform.NewStore(s.Deployment.StoreAddress, n.dial)
 	follower := store.NewFollower(ctx, rows, copies, log)
 	budgets := retry.NewBudgets(retry.SharedTerms(s.Deployment.RetryRatio, s.Deployment.RetrySlack, s.Deployment.RetryWindow(), entriesUnknown))
-	peers, err := newPeers(ctx, s, copies, paces, log)
+	peers, err := newPeers(ctx, s, n, copies, paces, log)
 	if err != nil {
 		return nil, err
 	}
-	d := newDirectory(ctx, s, copies, paces, log)
+	d := newDirectory(ctx, s, n, copies, paces, log)
 	d.done.Go(func() { shareLoop(ctx, s, peers.mirrors, d, budgets) })
 	lease := store.NewLease(ctx, rows, expertsLease, s.Instance, log)
 	maps := newExperts(ctx, d, lease, log)
@@ -69,6 +79,7 @@
 		lameDuck: deployedLameDuck,
 		shutdown: s.Deployment.Grace() - deployedLameDuck - exitMargin,
 		reload:   limitMemory,
+		lease:    lease,
 		close: func() {
 			follower.Wait()
 			d.wait()
--- /dev/null
+++ b/internal/process/entry/deployment_test.go
@@ -0,0 +1,272 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadareel/cicadareel/internal/connection/caller"
+	"github.com/cicadareel/cicadareel/internal/process/settings"
+	"github.com/cicadareel/cicadareel/internal/standin"
+)
+
+var bubble *testing.T
+
+func TestEntry(t *testing.T) {
+	bubble = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "entry")
+}
+
+// inVirtualTime runs a body with the clock under control.
+func inVirtualTime(body func()) {
+	synctest.Test(bubble, func(*testing.T) {
+		defer GinkgoRecover()
+		body()
+	})
+}
+
+const (
+	hostName   = "quotes.example"
+	callerKey  = "key-1"
+	storePlace = "10.9.0.1:7000"
+)
+
+// deployment is a platform in memory with entries on it.
+type deployment struct {
+	network *standin.Network
+	store   *standin.RowStore
+	workers map[string]*standin.Worker
+	entries []*testEntry
+	stops   []func()
+	version uint64
+}
+
+// testEntry is one entry process.
+type testEntry struct {
+	deployment *deployment
+	backing    *backing
+	address    string
+	stop       context.CancelFunc
+	server     *http.Server
+}
+
+func newDeployment() *deployment {
+	d := &deployment{network: standin.NewNetwork(), store: standin.NewRowStore(), workers: map[string]*standin.Worker{}}
+	d.serve(storePlace, d.store.Handler())
+	d.configure(nil)
+	return d
+}
+
+// serve answers at an address until the deployment ends.
+func (d *deployment) serve(address string, h http.Handler) *http.Server {
+	s := &http.Server{Handler: h}
+	l := d.network.Listen(address)
+	go func() { _ = s.Serve(l) }()
+	d.stops = append(d.stops, func() { _ = s.Close() })
+	return s
+}
+
+// route describes a route on the platform's wire.
+func route(name, kind, group string, change func(map[string]any)) map[string]any {
+	r := map[string]any{
+		"name": name, "host": hostName, "path_prefix": "/" + name + "/", "route_type": kind, "service": group,
+		"timeout_ms": 8000, "target_latency_ms": 400, "target_gap_ms": 120, "priority": 1, "max_attempts": 2,
+		"stream_resume": kind == "streaming",
+	}
+	if change != nil {
+		change(r)
+	}
+	return r
+}
+
+// configure writes the next version of the configuration.
+func (d *deployment) configure(change func(config map[string]any)) {
+	d.version += 3
+	c := map[string]any{
+		"version": d.version,
+		"routes": []any{
+			route("draft", "streaming", "models", nil),
+			route("once", "streaming", "models", func(r map[string]any) { r["stream_resume"] = false }),
+			route("book", "unsafe", "desk", func(r map[string]any) { r["max_attempts"] = 1; r["timeout_ms"] = 1000 }),
+			route("look", "safe", "desk", func(r map[string]any) { r["timeout_ms"] = 1000 }),
+		},
+		"services": []any{
+			map[string]any{"name": "models", "max_connections": 100, "cold_start_s": 3, "cold_per_s": 10},
+			map[string]any{"name": "desk", "max_connections": 100},
+		},
+		"limits":  map[string]any{"max_body_bytes": 64},
+		"tenants": []any{map[string]any{"name": "homeowners", "api_keys": []string{callerKey}}},
+	}
+	if change != nil {
+		change(c)
+	}
+	d.store.Put("op", "config", c)
+}
+
+// announce writes the row of an endpoint.
+func (d *deployment) announce(name, group, domain, address string, change func(map[string]any)) {
+	row := map[string]any{"service": group, "address": address, "zone": domain, "slots": 12, "state": "ready", "born": 1}
+	if change != nil {
+		change(row)
+	}
+	d.store.Put("servers", name, row)
+}
+
+// worker starts and announces an endpoint.
+func (d *deployment) worker(name, group, domain string, change func(*standin.Worker)) *standin.Worker {
+	k := &standin.Worker{Name: name, Work: 30 * time.Millisecond}
+	if change != nil {
+		change(k)
+	}
+	d.workers[name] = k
+	address := placeOf(name)
+	d.serve(address, k)
+	d.announce(name, group, domain, address, nil)
+	return k
+}
+
+// placeOf gives each name an address.
+func placeOf(name string) string {
+	sum := 0
+	for i, c := range name {
+		sum += int(c) * (i + 1)
+	}
+	return fmt.Sprintf("10.1.%d.%d:8000", sum/250%250, 1+sum%250)
+}
+
+func entryPlace(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 9000)
+}
+
+// entry starts an entry in the failure domain.
+func (d *deployment) entry(domain string) *testEntry {
+	i := len(d.entries)
+	s := &settings.Settings{
+		Role: settings.RoleEntry, Instance: "entry-" + strconv.Itoa(i), FailureDomain: domain, LogLevel: "panic",
+		PeerAddress: entryPlace(i), Seeds: []netip.AddrPort{entryPlace(0), entryPlace(1)},
+	}
+	s.TLS.Insecure = true
+	s.Deployment = settings.Deployment{
+		StoreAddress: netip.MustParseAddrPort(storePlace), RetryRatio: 0.2, RetrySlack: 88, RetryWindowMs: 10000,
+		ColdFactor: 1.5, ColdTolerance: 5, GraceMs: 8000, StallMs: 1500,
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n := network{
+		dial:   func(ctx context.Context, _, address string) (net.Conn, error) { return d.network.Dial(ctx, address) },
+		listen: func(at netip.AddrPort) (net.Listener, error) { return d.network.Listen(at.String()), nil },
+	}
+	b, err := newDeployed(ctx, s, n)
+	Expect(err).NotTo(HaveOccurred())
+	e := &testEntry{deployment: d, backing: b, stop: stop, address: fmt.Sprintf("10.8.0.%d:80", i+1)}
+	e.server = d.serve(e.address, caller.NewService(b.parts))
+	d.entries = append(d.entries, e)
+	return e
+}
+
+// close ends everything, so that the bubble can end.
+func (d *deployment) close() {
+	for _, e := range d.entries {
+		e.stop()
+	}
+	d.network.Close()
+	for _, stop := range d.stops {
+		stop()
+	}
+	for _, e := range d.entries {
+		e.backing.close()
+	}
+	// Servers linger for half a second over connections that they closed first.
+	time.Sleep(time.Second)
+}
+
+// reply is what a caller got.
+type reply struct {
+	status     int
+	header     http.Header
+	body       string
+	retryAfter float64
+	// whole is false if the answer broke off.
+	whole bool
+	took  time.Duration
+}
+
+// call sends one request of a caller over a connection of its own.
+func (e *testEntry) call(path, id string, change func(*http.Request)) reply {
+	started := time.Now()
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: e.deployment.network.DialNetwork}
+	req, err := http.NewRequest(http.MethodPost, "http://"+e.address+path, http.NoBody)
+	Expect(err).NotTo(HaveOccurred())
+	req.Host = hostName
+	req.Header.Set("X-Attempt-Id", id)
+	req.Header.Set("X-Api-Key", callerKey)
+	if change != nil {
+		change(req)
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return reply{took: time.Since(started)}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	after, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), retryAfter: after, whole: err == nil, took: time.Since(started)}
+}
+
+// ready waits until an entry has read the store.
+func (e *testEntry) ready() {
+	GinkgoHelper()
+	for range 100 {
+		if e.backing.ready() {
+			time.Sleep(50 * time.Millisecond)
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	Fail("entry is not ready")
+}
+
+func expectAnswer(r reply, id string) {
+	GinkgoHelper()
+	Expect(r.whole).To(BeTrue())
+	Expect(r.status).To(Equal(http.StatusOK))
+	Expect(r.header.Get("X-Upstream-Signature")).To(HaveSuffix("." + id))
+	Expect(r.body).To(Equal(standin.PlainAnswer(id)))
+}
+
+// expectNotRun checks a refusal that promises that the request did not run.
+func expectNotRun(r reply) {
+	GinkgoHelper()
+	Expect(r.status).To(Equal(http.StatusServiceUnavailable))
+	Expect(r.retryAfter).To(BeNumerically(">", 0))
+}
+
+func streamOf(events int) string {
+	text := ""
+	for id := 1; id <= events; id++ {
+		text += standin.Event(id)
+	}
+	return text
+}
+
+func totalRuns(workers ...*standin.Worker) int {
+	n := 0
+	for _, k := range workers {
+		n += len(k.Runs())
+	}
+	return n
+}
+
+// newBodyOf returns a body of the text.
+func newBodyOf(text string) io.ReadCloser { return io.NopCloser(strings.NewReader(text)) }
--- a/internal/process/entry/directory.go
+++ b/internal/process/entry/directory.go
@@ -13,7 +13,6 @@
 	"github.com/cicadareel/cicadareel/internal/process/settings"
 	"github.com/cicadareel/cicadareel/internal/request/choice"
 	"github.com/cicadareel/cicadareel/internal/table"
-	"github.com/cicadareel/cicadareel/internal/tcp"
 	"github.com/cicadareel/cicadareel/internal/version/mirror"
 	"github.com/cicadareel/cicadareel/internal/version/pace"
 	"github.com/cicadareel/cicadareel/internal/version/roster"
@@ -29,6 +28,7 @@
 // that serve, and chooses between them.
 type directory struct {
 	settings *settings.Settings
+	network  network
 	mirror   *mirror.Mirror
 	paces    *pace.Board
 	log      *events.Log
@@ -54,9 +54,10 @@
 	refused map[string]uint64
 }
 
-func newDirectory(ctx context.Context, s *settings.Settings, m *mirror.Mirror, b *pace.Board, l *events.Log) *directory {
+func newDirectory(ctx context.Context, s *settings.Settings, n network, m *mirror.Mirror, b *pace.Board, l *events.Log) *directory {
 	d := &directory{
 		settings: s,
+		network:  n,
 		mirror:   m,
 		paces:    b,
 		log:      l,
@@ -302,5 +303,5 @@
 }
 
 func (d *directory) newClient(info roster.Endpoint) *endpoint.Client {
-	return endpoint.NewClientOn(info.Address, tcp.Dialer().DialContext)
+	return endpoint.NewClientOn(info.Address, d.network.dial)
 }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -65,7 +65,7 @@
 func (e *entry) start(duties context.Context) error {
 	var err error
 	if e.settings.Deployment.StoreAddress.IsValid() {
-		e.backing, err = newDeployed(duties, e.settings)
+		e.backing, err = newDeployed(duties, e.settings, tcpNetwork())
 	} else {
 		e.backing, err = newSigned(duties, e.settings)
 	}
--- /dev/null
+++ b/internal/process/entry/intent_test.go
@@ -0,0 +1,334 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadareel/cicadareel/internal/standin"
+)
+
+var _ = Describe("the operators' intent", func() {
+	var d *deployment
+	var e *testEntry
+	var one, two *standin.Worker
+
+	within := func(body func()) {
+		inVirtualTime(func() {
+			d = newDeployment()
+			defer d.close()
+			one = d.worker("desk-1", "desk", "a", nil)
+			two = d.worker("desk-2", "desk", "b", nil)
+			e = d.entry("a")
+			e.ready()
+			body()
+		})
+	}
+	calls := func(n int) {
+		GinkgoHelper()
+		for i := range n {
+			id := fmt.Sprintf("c%d", i)
+			expectAnswer(e.call("/look/x", id, nil), id)
+		}
+	}
+	status := func(path string) int { return e.call(path, "r", nil).status }
+	withoutBooking := func(c map[string]any) {
+		c["routes"] = []any{route("look", "safe", "desk", nil)}
+	}
+
+	It("is in force at once", func() {
+		within(func() {
+			d.configure(withoutBooking)
+			time.Sleep(100 * time.Millisecond)
+			Expect(status("/book/x")).To(Equal(http.StatusNotFound))
+			Expect(status("/look/x")).To(Equal(http.StatusOK))
+		})
+	})
+
+	It("takes keys away at once", func() {
+		within(func() {
+			d.configure(func(c map[string]any) {
+				c["tenants"] = []any{map[string]any{"name": "homeowners", "api_keys": []string{"other"}}}
+			})
+			time.Sleep(100 * time.Millisecond)
+			Expect(status("/look/x")).To(Equal(http.StatusUnauthorized))
+		})
+	})
+
+	It("never goes back to an older version", func() {
+		within(func() {
+			d.configure(withoutBooking)
+			time.Sleep(100 * time.Millisecond)
+			d.version -= 6
+			d.configure(nil)
+			time.Sleep(100 * time.Millisecond)
+			Expect(status("/book/x")).To(Equal(http.StatusNotFound))
+		})
+	})
+
+	It("stays what it was where a version cannot be read", func() {
+		within(func() {
+			d.store.PutRaw("op", "config", []byte(`{"version": 99, "routes": [`))
+			time.Sleep(100 * time.Millisecond)
+			Expect(status("/look/x")).To(Equal(http.StatusOK))
+		})
+	})
+
+	It("splits routes by weight", func() {
+		within(func() {
+			d.worker("other-1", "other", "a", nil)
+			d.configure(func(c map[string]any) {
+				c["services"] = append(c["services"].([]any), map[string]any{"name": "other"})
+				c["routes"] = []any{route("look", "safe", "", func(r map[string]any) {
+					r["weighted_services"] = []any{map[string]any{"service": "desk", "weight": 0}, map[string]any{"service": "other", "weight": 5}}
+				})}
+			})
+			time.Sleep(100 * time.Millisecond)
+			calls(10)
+			Expect(totalRuns(one, two)).To(Equal(0))
+		})
+	})
+
+	It("keeps work out of a held failure domain until it is released", func() {
+		within(func() {
+			d.store.Put("op", "evacuate/a", struct{}{})
+			time.Sleep(50 * time.Millisecond)
+			calls(10)
+			Expect(one.Runs()).To(BeEmpty())
+			d.store.Put("op", "evacuate/b", struct{}{})
+			time.Sleep(50 * time.Millisecond)
+			expectNotRun(e.call("/look/x", "r", nil))
+			d.store.Remove("op", "evacuate/a")
+			time.Sleep(50 * time.Millisecond)
+			calls(10)
+			Expect(one.Runs()).To(HaveLen(10))
+		})
+	})
+
+	It("reaches an entry that the store refuses, through others", func() {
+		within(func() {
+			other := d.entry("b")
+			other.ready()
+			time.Sleep(2 * time.Second)
+			d.network.Freeze(storePlace)
+			time.Sleep(15 * time.Second)
+			d.network.Thaw(storePlace)
+			time.Sleep(time.Second)
+			d.configure(withoutBooking)
+			time.Sleep(time.Second)
+			Expect(status("/book/x")).To(Equal(http.StatusNotFound))
+			Expect(other.call("/book/x", "r", nil).status).To(Equal(http.StatusNotFound))
+		})
+	})
+
+	It("survives a store that forgets its history", func() {
+		within(func() {
+			d.store.Forget()
+			d.configure(withoutBooking)
+			time.Sleep(200 * time.Millisecond)
+			Expect(status("/book/x")).To(Equal(http.StatusNotFound))
+		})
+	})
+
+	It("is served on while the store is down, and followed after", func() {
+		within(func() {
+			d.store.SetTrouble(standin.StoreTrouble{Status: http.StatusServiceUnavailable})
+			time.Sleep(20 * time.Second)
+			calls(5)
+			d.store.SetTrouble(standin.StoreTrouble{})
+			d.configure(withoutBooking)
+			time.Sleep(time.Second)
+			Expect(status("/book/x")).To(Equal(http.StatusNotFound))
+		})
+	})
+
+	It("comes from peers to an entry that starts while the store is down", func() {
+		within(func() {
+			d.store.SetTrouble(standin.StoreTrouble{Status: http.StatusServiceUnavailable})
+			late := d.entry("b")
+			first := late.call("/look/x", "r", nil).status
+			Expect(first).To(Or(Equal(http.StatusServiceUnavailable), Equal(http.StatusOK)), "never an answer from no knowledge")
+			time.Sleep(2 * time.Second)
+			Expect(late.backing.ready()).To(BeTrue())
+			expectAnswer(late.call("/look/x", "r2", nil), "r2")
+		})
+	})
+})
+
+var _ = Describe("endpoints that announce themselves", func() {
+	var d *deployment
+	var e *testEntry
+	var one, two *standin.Worker
+
+	within := func(body func()) {
+		inVirtualTime(func() {
+			d = newDeployment()
+			defer d.close()
+			one = d.worker("desk-1", "desk", "a", nil)
+			two = d.worker("desk-2", "desk", "b", nil)
+			e = d.entry("a")
+			e.ready()
+			body()
+		})
+	}
+	calls := func(n int) {
+		GinkgoHelper()
+		for i := range n {
+			id := fmt.Sprintf("c%d", i)
+			expectAnswer(e.call("/look/x", id, nil), id)
+		}
+	}
+
+	It("get no new work once they drain", func() {
+		within(func() {
+			d.announce("desk-1", "desk", "a", placeOf("desk-1"), func(r map[string]any) { r["state"] = "draining" })
+			time.Sleep(50 * time.Millisecond)
+			calls(10)
+			Expect(one.Runs()).To(BeEmpty())
+		})
+	})
+
+	It("get no new work once they are gone, while running work ends", func() {
+		within(func() {
+			one.Work, two.Work = 500*time.Millisecond, 500*time.Millisecond
+			done := make(chan reply, 1)
+			go func() { done <- e.call("/look/x", "r1", nil) }()
+			time.Sleep(100 * time.Millisecond)
+			d.store.Remove("servers", "desk-1")
+			d.store.Remove("servers", "desk-2")
+			time.Sleep(50 * time.Millisecond)
+			expectNotRun(e.call("/look/x", "r2", nil))
+			expectAnswer(<-done, "r1")
+		})
+	})
+
+	It("stay for two seconds after the store's return if their rows lapsed", func() {
+		within(func() {
+			d.store.SetTrouble(standin.StoreTrouble{Status: http.StatusServiceUnavailable})
+			time.Sleep(3 * time.Second)
+			d.store.Remove("servers", "desk-1")
+			d.store.Remove("servers", "desk-2")
+			d.store.SetTrouble(standin.StoreTrouble{})
+			time.Sleep(1500 * time.Millisecond)
+			calls(5)
+			d.announce("desk-2", "desk", "b", placeOf("desk-2"), nil)
+			time.Sleep(1500 * time.Millisecond)
+			before := len(one.Runs())
+			calls(10)
+			Expect(one.Runs()).To(HaveLen(before), "one that is still missing is gone")
+		})
+	})
+
+	DescribeTable("are passed over where their rows make no sense", func(row string) {
+		within(func() {
+			d.store.PutRaw("servers", "foreign", []byte(row))
+			time.Sleep(50 * time.Millisecond)
+			calls(10)
+		})
+	},
+		Entry("torn", `{"service":"desk","addr`),
+		Entry("state", `{"service":"desk","address":"10.1.1.1:1","zone":"a","slots":3,"state":"sleeping","born":1}`),
+		Entry("types", `{"service":7,"address":"10.1.1.1:1","zone":"a","slots":3,"state":"ready","born":1}`),
+		Entry("address", `{"service":"desk","address":"nowhere","zone":"a","slots":3,"state":"ready","born":1}`),
+		Entry("service", `{"service":"unheard","address":"10.1.1.1:1","zone":"a","slots":3,"state":"ready","born":1}`),
+		Entry("not an object", `[]`), Entry("empty", ``))
+
+	It("are used again under a name that they had", func() {
+		within(func() {
+			d.announce("desk-1", "desk", "a", placeOf("desk-1"), func(r map[string]any) { r["born"] = 99 })
+			time.Sleep(50 * time.Millisecond)
+			d.store.Remove("servers", "desk-2")
+			time.Sleep(50 * time.Millisecond)
+			calls(5)
+			Expect(one.Runs()).To(HaveLen(5))
+		})
+	})
+
+	It("that are cold get no more than they bear, from all entries together", func() {
+		inVirtualTime(func() {
+			d = newDeployment()
+			defer d.close()
+			cold := d.worker("model-1", "models", "a", func(k *standin.Worker) { k.Events = 1 })
+			for i := range 4 {
+				d.entry(string(rune('a' + i))).ready()
+			}
+			time.Sleep(3 * time.Second)
+			d.announce("model-1", "models", "a", placeOf("model-1"), func(r map[string]any) { r["cold_remaining_ms"] = 3000; r["born"] = 2 })
+			time.Sleep(50 * time.Millisecond)
+			flood(d.entries, 150, 10*time.Millisecond)
+			Expect(mostInASecond(cold.Runs())).To(BeNumerically("<=", 10*1.5+5))
+			Expect(cold.Runs()).NotTo(BeEmpty())
+		})
+	})
+})
+
+// flood sends requests to every entry at a pace.
+func flood(entries []*testEntry, each int, pace time.Duration) {
+	done := make(chan struct{}, each*len(entries))
+	for i := range each {
+		for j, e := range entries {
+			go func() {
+				e.call("/draft/x", fmt.Sprintf("f%d-%d", i, j), nil)
+				done <- struct{}{}
+			}()
+		}
+		time.Sleep(pace)
+	}
+	for range each * len(entries) {
+		<-done
+	}
+}
+
+// mostInASecond returns the largest number of runs within any second.
+func mostInASecond(runs []standin.Run) int {
+	most := 0
+	for i := range runs {
+		n := 0
+		for _, r := range runs[i:] {
+			if r.At.Sub(runs[i].At) < time.Second {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+var _ = Describe("retries", func() {
+	It("stay within the budget of all entries together", func() {
+		inVirtualTime(func() {
+			d := newDeployment()
+			defer d.close()
+			workers := []*standin.Worker{}
+			for _, name := range []string{"desk-1", "desk-2", "desk-3"} {
+				workers = append(workers, d.worker(name, "desk", "a", func(k *standin.Worker) { k.Work = time.Millisecond }))
+			}
+			for i := range 3 {
+				d.entry(string(rune('a' + i))).ready()
+			}
+			time.Sleep(3 * time.Second)
+			failing := make([]standin.Fault, 2000)
+			for i := range failing {
+				failing[i] = standin.Fails
+			}
+			for _, k := range workers {
+				k.NextFaults(failing...)
+			}
+			requests, started := 0, time.Now()
+			for range 200 {
+				for _, e := range d.entries {
+					r := e.call("/look/x", fmt.Sprintf("r%d", requests), nil)
+					Expect(r.status).To(Equal(http.StatusInternalServerError))
+					Expect(strings.HasPrefix(r.body, "done")).To(BeTrue(), "the endpoint's own failure")
+					requests++
+				}
+			}
+			Expect(time.Since(started)).To(BeNumerically("<", 10*time.Second), "one window")
+			Expect(totalRuns(workers...) - requests).To(BeNumerically("<=", float64(requests)*0.2+88))
+		})
+	})
+})
--- /dev/null
+++ b/internal/process/entry/maps_test.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cicadareel/cicadareel/internal/standin"
+)
+
+const (
+	mapRanks   = 4
+	mapLayers  = 2
+	mapExperts = 16
+	mapPlaces  = 6
+)
+
+// mapDeployment has a group of ranks beside its store.
+type mapDeployment struct {
+	*deployment
+	ranks *standin.RankSet
+}
+
+// withMaps runs a body on a group with a number of entries.
+func withMaps(entries int, seed uint64, body func(d mapDeployment)) {
+	inVirtualTime(func() {
+		d := mapDeployment{deployment: newDeployment(), ranks: standin.NewRankSet("g", mapRanks, mapLayers, mapExperts, mapPlaces, seed)}
+		done := make(chan struct{})
+		defer d.close()
+		defer close(done)
+		go d.ranks.Run(done)
+		d.configure(func(c map[string]any) {
+			c["services"] = []any{map[string]any{"name": "models", "max_connections": 100, "engine": map[string]any{
+				"slots": 12, "sets": mapLayers, "experts": mapExperts, "placements": mapPlaces, "spare": 2,
+				"expert_mb": 100, "link_mbps": 44000, "form_ms": 600,
+			}}}
+			c["routes"] = []any{route("draft", "streaming", "models", nil)}
+		})
+		for i := range mapRanks {
+			name := fmt.Sprintf("rank-%d", i)
+			d.serve(placeOf(name), d.ranks.Handler(i, &standin.Worker{Name: name, Events: 5, Work: 60 * time.Millisecond}))
+		}
+		d.announceRanks()
+		for i := range entries {
+			d.entry(string(rune('a' + i))).ready()
+		}
+		body(d)
+	})
+}
+
+func (d mapDeployment) announceRanks() {
+	for i := range mapRanks {
+		name := fmt.Sprintf("rank-%d", i)
+		d.announce(name, "models", "a", placeOf(name), func(r map[string]any) {
+			r["group"] = map[string]any{"name": "g", "epoch": d.ranks.Epoch(), "rank": i, "state": "open"}
+			r["size"] = mapRanks
+		})
+	}
+}
+
+// holder returns the entry with the lease, or nil.
+func (d mapDeployment) holder() *testEntry {
+	for _, e := range d.entries {
+		if _, held := e.backing.lease.Held(); held {
+			return e
+		}
+	}
+	return nil
+}
+
+func (d mapDeployment) expectOneMap() {
+	GinkgoHelper()
+	Expect(d.ranks.Violations()).To(BeEmpty())
+}
+
+var _ = Describe("expert maps", func() {
+	It("follow the popularity", func() {
+		withMaps(1, 1, func(d mapDeployment) {
+			time.Sleep(3 * time.Second)
+			Expect(d.ranks.Version()).To(BeNumerically(">", 0))
+			d.expectOneMap()
+			Expect(d.ranks.LongestHold()).To(BeNumerically("<=", 120*time.Millisecond))
+		})
+	})
+
+	It("are changed by one entry only", func() {
+		withMaps(3, 1, func(d mapDeployment) {
+			time.Sleep(2 * time.Second)
+			held := 0
+			for _, e := range d.entries {
+				if _, ok := e.backing.lease.Held(); ok {
+					held++
+				}
+			}
+			Expect(held).To(Equal(1))
+		})
+	})
+
+	DescribeTable("never differ in a step, whatever becomes of orders", func(t standin.RankTrouble) {
+		for seed := range uint64(6) {
+			withMaps(2, seed, func(d mapDeployment) {
+				d.ranks.SetTrouble(t)
+				for range 20 {
+					time.Sleep(1500 * time.Millisecond)
+					d.ranks.Shift()
+				}
+				d.expectOneMap()
+				Expect(d.ranks.Version()).To(BeNumerically(">", 0), "maps still change")
+			})
+		}
+	},
+		Entry("a third lost", standin.RankTrouble{Lose: 0.35}),
+		Entry("a third late by a second", standin.RankTrouble{Late: 0.35, LateBy: time.Second}),
+		Entry("some late by seconds, some lost", standin.RankTrouble{Lose: 0.2, Late: 0.2, LateBy: 4 * time.Second}))
+
+	It("never differ when holders stop at any moment", func() {
+		for seed := range uint64(12) {
+			withMaps(3, seed, func(d mapDeployment) {
+				d.ranks.SetTrouble(standin.RankTrouble{Lose: 0.1, Late: 0.1, LateBy: 3 * time.Second})
+				for turn := range 4 {
+					time.Sleep(time.Duration(700+37*seed+211*uint64(turn)) * time.Millisecond)
+					d.ranks.Shift()
+				}
+				if h := d.holder(); h != nil {
+					h.backing.lease.Lose("test")
+					h.stop()
+				}
+				time.Sleep(8 * time.Second)
+				d.expectOneMap()
+				Expect(d.ranks.LongestHold()).To(BeNumerically("<", 6*time.Second), "a forgotten hold is ended")
+				before := d.ranks.Version()
+				for range 4 {
+					d.ranks.Shift()
+					time.Sleep(2 * time.Second)
+				}
+				Expect(d.ranks.Version()).To(BeNumerically(">", before), "another entry goes on")
+				d.expectOneMap()
+			})
+		}
+	})
+
+	It("start anew with a group that forms again", func() {
+		withMaps(2, 3, func(d mapDeployment) {
+			time.Sleep(2 * time.Second)
+			d.ranks.Reform()
+			d.announceRanks()
+			time.Sleep(2 * time.Second)
+			Expect(d.ranks.Version()).To(BeNumerically(">", 0))
+			d.expectOneMap()
+		})
+	})
+
+	It("go on changing while the store is away", func() {
+		withMaps(2, 4, func(d mapDeployment) {
+			time.Sleep(2 * time.Second)
+			d.store.SetTrouble(standin.StoreTrouble{Status: http.StatusServiceUnavailable})
+			time.Sleep(5 * time.Second)
+			before := d.ranks.Version()
+			d.ranks.Shift()
+			time.Sleep(3 * time.Second)
+			Expect(d.ranks.Version()).To(BeNumerically(">", before))
+			d.expectOneMap()
+		})
+	})
+})
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -13,7 +13,6 @@
 	"github.com/cicadareel/cicadareel/internal/events"
 	"github.com/cicadareel/cicadareel/internal/identity"
 	"github.com/cicadareel/cicadareel/internal/process/settings"
-	"github.com/cicadareel/cicadareel/internal/tcp"
 	"github.com/cicadareel/cicadareel/internal/version/mirror"
 	"github.com/cicadareel/cicadareel/internal/version/pace"
 )
@@ -25,18 +24,18 @@
 	server  *grpc.Server
 }
 
-func newPeers(ctx context.Context, s *settings.Settings, m *mirror.Mirror, b *pace.Board, l *events.Log) (*peers, error) {
+func newPeers(ctx context.Context, s *settings.Settings, n network, m *mirror.Mirror, b *pace.Board, l *events.Log) (*peers, error) {
 	id, err := identity.NewIdentity(s.TLS)
 	if err != nil {
 		return nil, err
 	}
-	listener, err := tcp.Listen(s.PeerAddress)
+	listener, err := n.listen(s.PeerAddress)
 	if err != nil {
 		return nil, err
 	}
 	self := peer.Self{Instance: s.Instance, FailureDomain: s.FailureDomain, Address: s.PeerAddress}
 	dialer := peer.NewDialerOn(func() credentials.TransportCredentials { return id.Client() },
-		func(ctx context.Context, address string) (net.Conn, error) { return tcp.Dial(ctx, address) })
+		func(ctx context.Context, address string) (net.Conn, error) { return n.dial(ctx, "tcp", address) })
 	p := &peers{clients: peer.NewClients(dialer), server: peer.NewGRPCServer(id.Server())}
 	p.mirrors = peer.NewMirrors(ctx, self, s.Seeds, m, b, p.clients, l)
 	wire.RegisterPeerServer(p.server, p.mirrors)
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -32,11 +32,6 @@
 	return &net.Dialer{Timeout: connectTimeout, KeepAliveConfig: keepAlive, Control: control}
 }
 
-// Dial opens a connection to an address.
-func Dial(ctx context.Context, address string) (net.Conn, error) {
-	return Dialer().DialContext(ctx, "tcp", address)
-}
-
 // Listen accepts connections at an address.
 func Listen(at netip.AddrPort) (net.Listener, error) {
 	c := net.ListenConfig{KeepAliveConfig: keepAlive, Control: control}
