--- a/internal/connection/peer/mirrors.go
+++ b/internal/connection/peer/mirrors.go
@@ -18,10 +18,17 @@
 	// mirrorInterval is the time between two exchanges of copies. A copy that one
 	// process got reaches the others within a few of them.
 	mirrorInterval = 500 * time.Millisecond
-	// awayInterval is the same for a process that cannot reach the store.
-	awayInterval = 250 * time.Millisecond
-	// awayPeers is the number of peers that such a process asks each time.
+	// followInterval is the same for a process that leaves the store to others,
+	// and asks one of those that follow it.
+	followInterval = 250 * time.Millisecond
+	// awayPeers is the number of peers asked by a process that cannot reach the
+	// store.
 	awayPeers = 3
+	// followers is the number of processes that follow the store for all. Three
+	// leave one if two are cut off at once.
+	followers = 3
+	// followerLife is how long a process counts as a follower after it said so.
+	followerLife = 2 * time.Second
 	// peerLife is how long a peer counts after it was last heard.
 	peerLife = 10 * time.Second
 	// peerLimit bounds the peers remembered.
@@ -34,6 +41,8 @@
 type known struct {
 	instance string
 	heard    time.Time
+	// follows is true if the peer follows the store and reaches it.
+	follows bool
 }
 
 // Mirrors exchanges copies of followed tables with peers, so that a process
@@ -53,13 +62,15 @@
 	peers map[netip.AddrPort]known
 	// seeds are asked as well, whenever no peer was heard lately.
 	seeds []netip.AddrPort
+	// following is true while this process follows the store itself.
+	following bool
 	// told is the number of live peers last logged.
 	told int
 }
 
 // NewMirrors starts exchanging until ctx ends.
 func NewMirrors(ctx context.Context, self Self, seeds []netip.AddrPort, m *mirror.Mirror, b *pace.Board, c *Clients, l *events.Log) *Mirrors {
-	s := &Mirrors{self: self, mirror: m, paces: b, clients: c, log: l, seeds: seeds, peers: map[netip.AddrPort]known{}}
+	s := &Mirrors{self: self, mirror: m, paces: b, clients: c, log: l, seeds: seeds, peers: map[netip.AddrPort]known{}, following: true}
 	s.done.Go(func() { s.exchangeLoop(ctx) })
 	return s
 }
@@ -86,9 +97,13 @@
 
 func (s *Mirrors) exchangeLoop(ctx context.Context) {
 	for ctx.Err() == nil {
+		s.settle()
 		wait, count := mirrorInterval, 1
-		if s.mirror.Away() {
-			wait, count = awayInterval, awayPeers
+		switch {
+		case s.mirror.Away():
+			wait, count = followInterval, awayPeers
+		case !s.Following():
+			wait = followInterval
 		}
 		var calls sync.WaitGroup
 		for _, at := range s.pick(count) {
@@ -103,11 +118,56 @@
 	}
 }
 
-// pick returns random live peers, and the seeds while none is known.
+// Following reports whether this process is to follow the store itself.
+func (s *Mirrors) Following() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.following
+}
+
+// settle decides whether to follow the store: the first few by name do, of those
+// that reach it. One that cannot tell follows.
+func (s *Mirrors) settle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	others, before := 0, 0
+	for _, k := range s.peers {
+		if !k.follows || time.Since(k.heard) > followerLife {
+			continue
+		}
+		others++
+		if k.instance < s.self.Instance {
+			before++
+		}
+	}
+	switch {
+	case s.following:
+		s.following = before < followers
+	default:
+		s.following = others < followers
+	}
+}
+
+// liveFollowers returns the peers that follow the store.
+func (s *Mirrors) liveFollowers() []netip.AddrPort {
+	var out []netip.AddrPort
+	for at, k := range s.peers {
+		if k.follows && time.Since(k.heard) <= followerLife {
+			out = append(out, at)
+		}
+	}
+	return out
+}
+
+// pick returns random peers to ask: followers for a process that leaves the
+// store to them, the seeds while no peer is known.
 func (s *Mirrors) pick(count int) []netip.AddrPort {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	from := s.live()
+	if !s.following {
+		from = s.liveFollowers()
+	}
 	if len(from) == 0 {
 		return s.otherSeeds()
 	}
@@ -146,7 +206,12 @@
 func (s *Mirrors) adopt(c *wire.TableCopy) {
 	snapshot := mirror.Snapshot{Revision: c.GetRevision()}
 	for _, r := range c.GetRows() {
-		snapshot.Rows = append(snapshot.Rows, table.Row{Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision()})
+		row := table.Row{Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision()}
+		if r.GetLapsed() {
+			snapshot.Lapsed = append(snapshot.Lapsed, row)
+			continue
+		}
+		snapshot.Rows = append(snapshot.Rows, row)
 	}
 	s.mirror.Replace(mirror.Topic(c.GetTopic()), snapshot)
 }
@@ -186,11 +251,18 @@
 	for _, r := range snapshot.Rows {
 		out.Rows = append(out.Rows, &wire.TableRow{Key: r.Key, Value: r.Value, Revision: r.Revision})
 	}
+	for _, r := range snapshot.Lapsed {
+		out.Rows = append(out.Rows, &wire.TableRow{Key: r.Key, Value: r.Value, Revision: r.Revision, Lapsed: true})
+	}
 	return out
 }
 
 func (s *Mirrors) info() *wire.PeerInfo {
-	return &wire.PeerInfo{Instance: s.self.Instance, Address: s.self.Address.String()}
+	return &wire.PeerInfo{
+		Instance: s.self.Instance,
+		Address:  s.self.Address.String(),
+		Follows:  s.Following() && !s.mirror.Away(),
+	}
 }
 
 // tell names some live peers with the time since they were heard.
@@ -203,7 +275,7 @@
 			break
 		}
 		k := s.peers[at]
-		out = append(out, &wire.PeerInfo{Instance: k.instance, Address: at.String(), Age: DurationToWire(time.Since(k.heard))})
+		out = append(out, &wire.PeerInfo{Instance: k.instance, Address: at.String(), Age: DurationToWire(time.Since(k.heard)), Follows: k.follows})
 	}
 	return out
 }
@@ -230,7 +302,7 @@
 		return
 	}
 	if heard.After(s.peers[at].heard) {
-		s.peers[at] = known{instance: p.GetInstance(), heard: heard}
+		s.peers[at] = known{instance: p.GetInstance(), heard: heard, follows: p.GetFollows()}
 	}
 }
 
--- a/internal/connection/store/follower.go
+++ b/internal/connection/store/follower.go
@@ -23,6 +23,11 @@
 	// retryFirst and retryLast bound the pause after a failed call.
 	retryFirst = 100 * time.Millisecond
 	retryLast  = 500 * time.Millisecond
+	// batchPause is the time between two calls for changes of endpoints, which
+	// come in bursts.
+	batchPause = 150 * time.Millisecond
+	// idlePause is the time between two looks whether to follow at all.
+	idlePause = 50 * time.Millisecond
 	// sweepInterval is the time between two looks for lapsed rows.
 	sweepInterval = 100 * time.Millisecond
 )
@@ -48,12 +53,15 @@
 	feed   Feed
 	mirror *mirror.Mirror
 	log    *events.Log
+	// wanted reports whether this process is to follow the store; others do, if
+	// it is not.
+	wanted func() bool
 	done   sync.WaitGroup
 }
 
-// NewFollower starts following every topic until ctx ends.
-func NewFollower(ctx context.Context, f Feed, m *mirror.Mirror, l *events.Log) *Follower {
-	w := &Follower{feed: f, mirror: m, log: l}
+// NewFollower starts following every topic, while wanted, until ctx ends.
+func NewFollower(ctx context.Context, f Feed, m *mirror.Mirror, wanted func() bool, l *events.Log) *Follower {
+	w := &Follower{feed: f, mirror: m, wanted: wanted, log: l}
 	for _, t := range mirror.Topics() {
 		w.done.Go(func() { w.followLoop(ctx, t) })
 	}
@@ -68,12 +76,20 @@
 	backoff := retryFirst
 	whole := true
 	for ctx.Err() == nil {
+		if !w.wanted() {
+			w.mirror.Rest()
+			pause(ctx, idlePause)
+			continue
+		}
 		err := w.step(ctx, t, whole)
 		var lost *HistoryLostError
 		switch {
 		case err == nil:
 			whole, backoff = false, retryFirst
 			w.reached()
+			if t == mirror.Endpoints {
+				pause(ctx, batchPause)
+			}
 			continue
 		case errors.As(err, &lost):
 			whole = true
@@ -81,17 +97,21 @@
 			continue
 		}
 		w.missed(ctx, t, err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(backoff):
-		}
+		pause(ctx, backoff)
 		backoff = min(2*backoff, retryLast)
 	}
 }
 
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // step makes one call and applies its result.
 func (w *Follower) step(ctx context.Context, t mirror.Topic, whole bool) error {
-	if whole {
+	if _, known := w.mirror.Revision(t); whole || !known {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		s, err := w.feed.Read(ctx, t)
--- a/internal/connection/store/lease.go
+++ b/internal/connection/store/lease.go
@@ -45,6 +45,9 @@
 	rows   Leases
 	name   string
 	holder string
+	// wanted reports whether this process is to try for a lease that others may
+	// hold.
+	wanted func() bool
 	log    *events.Log
 	done   sync.WaitGroup
 
@@ -62,8 +65,8 @@
 
 // NewLease starts trying to hold the lease until ctx ends. Then it is given
 // back.
-func NewLease(ctx context.Context, rows Leases, name, holder string, l *events.Log) *Lease {
-	k := &Lease{rows: rows, name: name, holder: holder, log: l}
+func NewLease(ctx context.Context, rows Leases, name, holder string, wanted func() bool, l *events.Log) *Lease {
+	k := &Lease{rows: rows, name: name, holder: holder, wanted: wanted, log: l}
 	k.done.Go(func() { k.keepLoop(ctx) })
 	return k
 }
@@ -103,7 +106,9 @@
 
 func (k *Lease) keepLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		k.turn(ctx)
+		if _, held := k.Held(); held || k.wanted() {
+			k.turn(ctx)
+		}
 		wait := watchInterval
 		if _, held := k.Held(); held {
 			wait = renewInterval
--- a/internal/process/entry/deployed.go
+++ b/internal/process/entry/deployed.go
@@ -54,15 +54,15 @@
 	copies := mirror.NewMirror()
 	paces := pace.NewBoard()
 	rows := platform.NewStore(s.Deployment.StoreAddress, n.dial)
-	follower := store.NewFollower(ctx, rows, copies, log)
 	budgets := retry.NewBudgets(retry.SharedTerms(s.Deployment.RetryRatio, s.Deployment.RetrySlack, s.Deployment.RetryWindow(), entriesUnknown))
 	peers, err := newPeers(ctx, s, n, copies, paces, log)
 	if err != nil {
 		return nil, err
 	}
+	follower := store.NewFollower(ctx, rows, copies, peers.mirrors.Following, log)
 	d := newDirectory(ctx, s, n, copies, paces, log)
 	d.done.Go(func() { shareLoop(ctx, s, peers.mirrors, d, budgets) })
-	lease := store.NewLease(ctx, rows, expertsLease, s.Instance, log)
+	lease := store.NewLease(ctx, rows, expertsLease, s.Instance, peers.mirrors.Following, log)
 	maps := newExperts(ctx, d, lease, log)
 	m.Gauge("cicadareel_log_lines_dropped", "Log lines not written.", log.Dropped)
 	m.Gauge("cicadareel_bundle_version", "Version of the bundle in force.", d.version)
--- a/internal/process/entry/directory.go
+++ b/internal/process/entry/directory.go
@@ -165,7 +165,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	present := map[string]bool{}
-	for _, row := range s.Rows {
+	for _, row := range s.All() {
 		info, err := platform.Endpoint(row)
 		if err != nil {
 			d.ignore("endpoints", row, err)
--- a/internal/version/mirror/mirror.go
+++ b/internal/version/mirror/mirror.go
@@ -28,10 +28,15 @@
 
 // Snapshot is a whole table at a revision.
 type Snapshot struct {
-	Rows     []table.Row
+	Rows []table.Row
+	// Lapsed are rows that are gone and count for a little longer.
+	Lapsed   []table.Row
 	Revision uint64
 }
 
+// All returns the rows with those that lapsed.
+func (s Snapshot) All() []table.Row { return append(slices.Clone(s.Rows), s.Lapsed...) }
+
 // Delta is what changed in a table up to a revision.
 type Delta struct {
 	Changed []table.Row
@@ -97,6 +102,13 @@
 	}
 }
 
+// Rest notes that this process leaves the store to others.
+func (m *Mirror) Rest() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.away = false
+}
+
 // Away reports whether the last call to the store failed.
 func (m *Mirror) Away() bool {
 	m.mu.Lock()
@@ -112,8 +124,7 @@
 	return c.revision, c.known
 }
 
-// Snapshot returns the rows of a topic in key order, with lapsed ones until
-// they are swept.
+// Snapshot returns the rows of a topic in key order.
 func (m *Mirror) Snapshot(t Topic) (Snapshot, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -123,7 +134,7 @@
 		s.Rows = append(s.Rows, row)
 	}
 	for _, l := range c.lapsed {
-		s.Rows = append(s.Rows, l.row)
+		s.Lapsed = append(s.Lapsed, l.row)
 	}
 	slices.SortFunc(s.Rows, func(a, b table.Row) int { return strings.Compare(a.Key, b.Key) })
 	return s, c.known
@@ -147,6 +158,9 @@
 			m.remove(t, key)
 		}
 	}
+	for _, row := range s.Lapsed {
+		c.lapsed[row.Key] = lapse{row: row, until: time.Now().Add(lapseGrace)}
+	}
 	c.known, c.revision = true, s.Revision
 	m.signal()
 	return true
