--- /dev/null
+++ b/internal/cli/explain_test.go
@@ -0,0 +1,38 @@
+package cli
+
+import (
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("explain", func() {
+	const logs = `{"time":"2026-06-05T10:00:01Z","instance":"entry-1","event":210,"msg":"endpoint removed","endpoint":"e-7","reason":"leaving"}
+  12.5 entry-1 {"time":"2026-06-05T10:00:02Z","instance":"entry-1","event":404,"msg":"request tried again","request":"r1","endpoints":"e-7","reason":"shed"}
+not a line of a log {
+{"time":"2026-06-05T10:00:02.5Z","instance":"entry-2","event":212,"msg":"endpoint taken for gone","endpoint":"e-9"}
+{"time":"2026-06-05T10:00:03Z","instance":"entry-1","event":403,"msg":"request refused","request":"r1","endpoints":"e-7,e-8","reason":"noEndpoint"}
+{"time":"2026-06-05T10:00:00.5Z","instance":"entry-1","event":204,"msg":"platform unreachable","error":"status 503"}
+{"time":"2026-06-05T09:00:00Z","instance":"entry-1","event":100,"msg":"process started"}
+{"time":"2026-06-05T10:00:03Z","instance":"entry-1","event":405,"msg":"request answered","request":"r2"}
+`
+	numbers := func(request string) []int {
+		GinkgoHelper()
+		lines, err := parseLog(strings.NewReader(logs))
+		Expect(err).NotTo(HaveOccurred())
+		var out []int
+		for _, l := range explain(lines, request) {
+			out = append(out, l.Event)
+		}
+		return out
+	}
+
+	It("shows a request with what its entry believed, in order of time", func() {
+		Expect(numbers("r1")).To(Equal([]int{204, 210, 404, 403}))
+	})
+
+	It("shows nothing of a request that no line names", func() {
+		Expect(numbers("r9")).To(BeEmpty())
+	})
+})
--- a/internal/connection/caller/dispatch.go
+++ b/internal/connection/caller/dispatch.go
@@ -54,6 +54,8 @@
 	// tries counts the attempts of this entry, sends those that may have put
 	// load on an endpoint.
 	tries, sends int
+	// owes is true if the next attempt costs a retry of the budget.
+	owes bool
 	// waited is the time spent waiting for an eligible endpoint.
 	waited time.Duration
 	// revision of the claim's row; 0 while there is none.
@@ -143,9 +145,7 @@
 	if d.sends >= d.maxAttempts() || d.tries >= freeAttempts {
 		return d.unfinished(reason)
 	}
-	if !free && !d.service.Budgets.Of(d.request.group.Name).Spend() {
-		return d.unfinished(outcome.RetryBudgetSpent)
-	}
+	d.owes = d.owes || !free
 	d.service.Metrics.Retried(reason)
 	d.service.log(d.request, events.RequestRetried, events.Fields{"reason": reason, "endpoints": strings.Join(d.endpoints, ","), "tries": d.tries})
 	return nil
@@ -187,6 +187,9 @@
 		}
 		a.remote = remote
 	}
+	if !d.pay() {
+		return done{outcome: d.unfinished(outcome.RetryBudgetSpent)}
+	}
 	d.number(&a)
 	if d.request.key != "" {
 		if step := d.claim(ctx, a); step != nil {
@@ -196,6 +199,16 @@
 	return d.attemptAt(ctx, a)
 }
 
+// pay takes the retry that the next attempt costs from the budget, now that it
+// has an endpoint, and reports whether there was one.
+func (d *dispatch) pay() bool {
+	if !d.owes {
+		return true
+	}
+	d.owes = false
+	return d.service.Budgets.Of(d.request.group.Name).Spend()
+}
+
 // waitForEndpoint gives endpoints a moment to open before refusing. Then all
 // of them may be tried again.
 func (d *dispatch) waitForEndpoint(ctx context.Context) next {
--- a/internal/request/retry/retry.go
+++ b/internal/request/retry/retry.go
@@ -30,12 +30,16 @@
 // DefaultTerms are those of the product itself.
 func DefaultTerms() Terms { return Terms{Ratio: budgetRatio, Reserve: budgetReserve} }
 
+// atOnce is the part of the slack that an entry may use all at once, as when a
+// group breaks with all its streams; the rest comes back over a window.
+const atOnce = 0.9
+
 // SharedTerms splits the retries that all entries together may add in any
-// window between that many entries. Half of the slack is there at once, and
-// half comes back over a window, so that no window holds more than all of it.
+// window between that many entries. What is there at once and what comes back
+// in a window make up no more than the slack.
 func SharedTerms(ratio, slack float64, window time.Duration, entries int) Terms {
 	own := slack / float64(max(1, entries))
-	return Terms{Ratio: ratio, Reserve: own / 2, PerSecond: own / 2 / window.Seconds()}
+	return Terms{Ratio: ratio, Reserve: own * atOnce, PerSecond: own * (1 - atOnce) / window.Seconds()}
 }
 
 // Budgets holds a budget for each group. It is safe for concurrent use.
