Send callers back later from a process that knows nothing yet

Change: a process without a bundle asks for two seconds, as much as the store's outages need and callers honour.

Also tried, and not kept: entries told each other their requests at each endpoint four times a second, and divided the endpoints between them, so that ranks fill evenly. Loads told a quarter of a second ago make entries meet at the same rank.

Conclusion: the longer time is kept, the two others are not.

--- a/internal/connection/caller/service.go
+++ b/internal/connection/caller/service.go
@@ -92,7 +92,7 @@
 	now := time.Now()
 	b := s.Bundles()
 	if b == nil {
-		s.refuse(w, Refusal{Outcome: outcome.NotRun{Reason: outcome.NoBundle}, Detail: "no bundle is in force yet"})
+		s.refuse(w, Refusal{Outcome: outcome.NotRun{Reason: outcome.NoBundle}, Detail: "no bundle is in force yet", RetryAfter: spread(startTime)})
 		return
 	}
 	defer s.inProgress.Add(-1)
@@ -139,6 +139,10 @@
 	s.refuse(d.delivery.w, refusal)
 }
 
+// startTime is when to come back to a process that knows nothing yet. It learns
+// from others at once, or from a store whose outage lasts seconds.
+const startTime = 2 * time.Second
+
 // returnSpread is the part of a Retry-After by which it varies, so that callers
 // who were refused together do not come back together.
 const returnSpread = 0.25
--- a/internal/connection/endpoint/direct.go
+++ b/internal/connection/endpoint/direct.go
@@ -159,7 +159,7 @@
 	x.direct.dialect.Prepare(&x.attempt, x.direct.name)
 	call := x.attempt.Call
 	call.Idempotent = false
-	resp, err := x.direct.client.Do(x.ctx, call)
+	resp, err := x.direct.client.Do(x.ctx, call) //nolint:bodyclose // Close closes it
 	if err != nil {
 		x.fail(err)
 		return
