Notice silent followers and swallowed calls, and hold later while orders are lost

Change: a feed call waits 1.5 s and is given up a second later. A peer that does not answer within 0.4 s is not relied on until it is heard again, whatever others heard of it before; changes of following are logged. Orders are repeated after 80 ms, and while some are lost a switch is armed eight steps later, so that they are repeated before the group stands.

Ruled out: detection by the connection; it stays alive over a swallowed call.

A spec on a refused endpoint failed once: it waited 100 ms for a change of endpoints; it now waits as long as the others.

--- a/internal/connection/peer/mirrors.go
+++ b/internal/connection/peer/mirrors.go
@@ -21,6 +21,8 @@
 	// followInterval is the same for a process that leaves the store to others,
 	// and asks one of those that follow it.
 	followInterval = 250 * time.Millisecond
+	// mirrorTimeout bounds one exchange: many times the way to a peer and back.
+	mirrorTimeout = 400 * time.Millisecond
 	// awayPeers is the number of peers asked by a process that cannot reach the
 	// store.
 	awayPeers = 3
@@ -140,11 +142,13 @@
 			before++
 		}
 	}
+	was := s.following
+	s.following = others < followers || (was && before < followers)
 	switch {
-	case s.following:
-		s.following = before < followers
-	default:
-		s.following = others < followers
+	case s.following && !was:
+		s.log.Info(events.FollowingBegun, events.Fields{"followers": others})
+	case was && !s.following:
+		s.log.Info(events.FollowingLeft, events.Fields{"followers": others})
 	}
 }
 
@@ -186,11 +190,12 @@
 }
 
 func (s *Mirrors) exchange(ctx context.Context, at netip.AddrPort) {
-	update, err := call(ctx, s.clients, at, exchangeTimeout,
+	update, err := call(ctx, s.clients, at, mirrorTimeout,
 		func(ctx context.Context, c wire.PeerClient) (*wire.MirrorUpdate, error) {
 			return c.Mirror(ctx, s.summary())
 		})
 	if err != nil {
+		s.doubt(at)
 		return
 	}
 	s.hear(update.GetSelf(), update.GetPeers())
@@ -202,6 +207,18 @@
 	}
 }
 
+// doubt stops relying on a peer that did not answer until it is heard again. What
+// others heard of it before does not count.
+func (s *Mirrors) doubt(at netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if k, ok := s.peers[at]; ok && k.follows {
+		k.follows, k.heard = false, time.Now()
+		s.peers[at] = k
+		s.log.Info(events.PeerDoubted, events.Fields{"peer": k.instance})
+	}
+}
+
 // adopt takes a newer copy.
 func (s *Mirrors) adopt(c *wire.TableCopy) {
 	snapshot := mirror.Snapshot{Revision: c.GetRevision()}
--- a/internal/connection/store/follower.go
+++ b/internal/connection/store/follower.go
@@ -12,12 +12,13 @@
 )
 
 const (
-	// feedWait is how long one call waits for a change. It is half of the
-	// shortest history that a store is expected to keep, so that a follower
-	// without changes still finds its place.
-	feedWait = 10 * time.Second
-	// feedMargin is how much longer than feedWait a call may take.
-	feedMargin = 2 * time.Second
+	// feedWait is how long one call waits for a change. A call that a store
+	// swallowed as it went down is given up after feedWait and feedMargin, well
+	// within the three seconds that users grant after an outage.
+	feedWait = 1500 * time.Millisecond
+	// feedMargin is how much longer than feedWait a call may take: a slow store
+	// needs several tenths of a second for an answer.
+	feedMargin = time.Second
 	// readTimeout bounds the reading of a whole table.
 	readTimeout = 2 * time.Second
 	// retryFirst and retryLast bound the pause after a failed call.
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -38,6 +38,9 @@
 	DomainHeld          Event = 213
 	DomainReleased      Event = 214
 	PeersChanged        Event = 215
+	FollowingBegun      Event = 216
+	FollowingLeft       Event = 217
+	PeerDoubted         Event = 218
 	SettingsReloaded    Event = 104
 	SettingsRefused     Event = 105
 	RequestUnknown      Event = 400
@@ -85,6 +88,9 @@
 	DomainHeld:          "failure domain held",
 	DomainReleased:      "failure domain released",
 	PeersChanged:        "known peers changed",
+	FollowingBegun:      "following the store",
+	FollowingLeft:       "leaving the store to others",
+	PeerDoubted:         "peer does not answer",
 	RequestUnknown:      "request outcome unknown",
 	RequestCut:          "answer to caller cut",
 	RequestInvalid:      "request invalid",
--- a/internal/process/entry/intent_test.go
+++ b/internal/process/entry/intent_test.go
@@ -125,6 +125,38 @@
 		})
 	})
 
+	It("reaches entries whose followers of the store all fall silent at once", func() {
+		within(func() {
+			all := []*testEntry{e}
+			for _, domain := range []string{"b", "c", "a", "b"} {
+				all = append(all, d.entry(domain))
+			}
+			time.Sleep(5 * time.Second)
+			for i := range 3 {
+				d.network.Freeze(entryPlace(i).String())
+			}
+			d.configure(withoutBooking)
+			time.Sleep(2 * time.Second)
+			for _, other := range all[3:] {
+				Expect(other.call("/book/x", "r", nil).status).To(Equal(http.StatusNotFound))
+			}
+			for i := range 3 {
+				d.network.Thaw(entryPlace(i).String())
+			}
+		})
+	})
+
+	It("is followed soon after an outage that swallowed calls", func() {
+		within(func() {
+			d.store.SetTrouble(standin.StoreTrouble{Silent: true})
+			time.Sleep(500 * time.Millisecond)
+			d.store.SetTrouble(standin.StoreTrouble{})
+			d.configure(withoutBooking)
+			time.Sleep(3 * time.Second)
+			Expect(status("/book/x")).To(Equal(http.StatusNotFound))
+		})
+	})
+
 	It("survives a store that forgets its history", func() {
 		within(func() {
 			d.store.Forget()
--- a/internal/process/entry/requests_test.go
+++ b/internal/process/entry/requests_test.go
@@ -100,7 +100,7 @@
 	It("go elsewhere where nothing listens, also those that may run once", func() {
 		within(func() {
 			d.announce("desk-1", "desk", "a", "10.99.0.1:1", func(r map[string]any) { r["born"] = 2 })
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(noticeTime)
 			for range 8 {
 				expectAnswer(e.call("/book/x", "r1", nil), "r1")
 			}
@@ -111,7 +111,7 @@
 	It("do not run at an endpoint that took over an address", func() {
 		within(func() {
 			d.announce("desk-1", "desk", "a", placeOf("desk-2"), func(r map[string]any) { r["born"] = 2 })
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(noticeTime)
 			for range 8 {
 				expectAnswer(e.call("/book/x", "r1", nil), "r1")
 			}
--- a/internal/version/expertswitch/switcher.go
+++ b/internal/version/expertswitch/switcher.go
@@ -4,15 +4,21 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 const (
-	// orderTimeout bounds one order: several times the way to a rank and back.
-	orderTimeout = 150 * time.Millisecond
+	// orderTimeout bounds one order: many times the way to a rank and back.
+	orderTimeout = 80 * time.Millisecond
 	// orderTries bounds the repetitions of an order without an answer. Each is
 	// lost with about one in three on the worst days that are expected.
-	orderTries = 8
+	orderTries = 12
+	// lossMargin is the number of steps to the step of a switch while orders are
+	// lost, so that they are repeated before the group comes to stand.
+	lossMargin = 8
+	// lossMemory is how long a lost order counts.
+	lossMemory = 10 * time.Second
 	// holdTries bounds the later steps that are tried when a hold comes late. The
 	// last is 32 steps away.
 	holdTries = 6
@@ -37,6 +43,8 @@
 	clock     stepClock
 	// armed is the step of the last switch; ranks take no other map before it.
 	armed uint64
+	// lost is the time of the last order without an answer, in nanoseconds.
+	lost atomic.Int64
 }
 
 // NewSwitcher returns a switcher for the ranks of a group, in the order of
@@ -84,6 +92,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if time.Since(time.Unix(0, s.lost.Load())) < lossMemory {
+		now += lossMargin
+	}
 	for try := range holdTries {
 		step := now + 1<<try
 		err = s.give(ctx, 0, Hold{Step: step})
@@ -166,6 +177,7 @@
 		if err == nil || errors.As(err, &objection) || errors.As(err, &fenced) {
 			return err
 		}
+		s.lost.Store(time.Now().UnixNano())
 	}
 	return err
 }
