Disarm under a hold of a free rank, split what grew, and add a demo of the platform

Cause: a spec on ranks that an earlier holder left armed broke one map in a step: the recovery asked rank 0 for a hold that it could not take, since it had one for another step, and took the refusal for "the step has begun".

Change: the hold for a disarming goes to a rank without one, and a refusal is checked against the step that the group is at. The age of reports comes from the configuration. `make demo-platform` runs three entries on stand-ins of the platform, as separate processes, through a held domain, a killed entry, a store that refuses, and a new configuration, and audits what ran. dispatch.go and experts.go are split by job.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run demo bench capacity falsify proto property
+.PHONY: build test lint run demo demo-platform bench capacity falsify proto property
 
 build:
 	go build -o bin/cicadareel .
@@ -14,6 +14,9 @@
 run: build
 	bin/cicadareel --help
 
+demo-platform: build
+	./scripts/demo-platform.sh
+
 demo: build
 	./scripts/demo.sh
 
--- /dev/null
+++ b/cmd/standin/deployment.go
@@ -0,0 +1,204 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/cicadareel/cicadareel/internal/standin"
+)
+
+// rowStoreCommand runs the store of the users' platform. PUT and DELETE on
+// /rows/TABLE/KEY write as operators do, with keys that may hold slashes.
+func rowStoreCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "rowstore",
+		Usage: "store of rows of the users' platform; POST /trouble?status=N refuses all calls",
+		Flags: []cli.Flag{addressFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s := standin.NewRowStore()
+			mux := http.NewServeMux()
+			mux.Handle("/", s.Handler())
+			mux.HandleFunc("PUT /rows/{table}/{key...}", func(w http.ResponseWriter, r *http.Request) {
+				value, err := io.ReadAll(r.Body)
+				if err != nil {
+					http.Error(w, err.Error(), http.StatusBadRequest)
+					return
+				}
+				s.PutRaw(r.PathValue("table"), r.PathValue("key"), value)
+			})
+			mux.HandleFunc("DELETE /rows/{table}/{key...}", func(_ http.ResponseWriter, r *http.Request) {
+				s.Remove(r.PathValue("table"), r.PathValue("key"))
+			})
+			mux.HandleFunc("POST /trouble", func(w http.ResponseWriter, r *http.Request) {
+				status := 0
+				if _, err := fmt.Sscan(r.FormValue("status"), &status); err != nil {
+					http.Error(w, err.Error(), http.StatusBadRequest)
+					return
+				}
+				s.SetTrouble(standin.StoreTrouble{Status: status})
+			})
+			return serve(ctx, c.String("address"), mux)
+		},
+	}
+}
+
+// workerCommand runs one endpoint of the users' platform.
+func workerCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "worker",
+		Usage: "endpoint of the users' platform; GET /runs lists what ran",
+		Flags: []cli.Flag{
+			addressFlag(),
+			&cli.StringFlag{Name: "name", Required: true},
+			&cli.DurationFlag{Name: "work", Value: 20 * time.Millisecond},
+			&cli.IntFlag{Name: "events", Usage: "events of a stream; 0 for plain answers"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			k := &standin.Worker{Name: c.String("name"), Work: c.Duration("work"), Events: c.Int("events")}
+			return serve(ctx, c.String("address"), withRuns(k, k))
+		},
+	}
+}
+
+// ranksCommand runs a group of ranks in one process, since they are in lock-step.
+func ranksCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "ranks",
+		Usage: "ranks in lock-step, named NAME-0 and so on; GET /violations lists steps with two maps",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "address", Required: true, Usage: "`ADDRESS` of a rank"},
+			&cli.StringFlag{Name: "name", Required: true},
+			&cli.IntFlag{Name: "layers", Value: 3},
+			&cli.IntFlag{Name: "experts", Value: 24},
+			&cli.IntFlag{Name: "places", Value: 8},
+			&cli.IntFlag{Name: "events", Value: 20},
+		},
+		Action: runRanks,
+	}
+}
+
+// shiftInterval is the time between two changes of what is popular.
+const shiftInterval = 2 * time.Second
+
+func runRanks(ctx context.Context, c *cli.Command) error {
+	addresses := c.StringSlice("address")
+	set := standin.NewRankSet(c.String("name"), len(addresses), c.Int("layers"), c.Int("experts"), c.Int("places"), 1)
+	go set.Run(ctx.Done())
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(shiftInterval)
+			set.Shift()
+		}
+	}()
+	failed := make(chan error, len(addresses))
+	for i, at := range addresses {
+		k := &standin.Worker{Name: fmt.Sprintf("%s-%d", c.String("name"), i), Events: c.Int("events"), Work: set.StepTime}
+		mux := http.NewServeMux()
+		mux.HandleFunc("GET /violations", func(w http.ResponseWriter, _ *http.Request) {
+			_ = json.NewEncoder(w).Encode(set.Violations())
+		})
+		mux.HandleFunc("GET /map", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(set.Version()) })
+		mux.Handle("/", set.Handler(i, withRuns(k, k)))
+		go func() { failed <- serve(ctx, at, mux) }()
+	}
+	for range addresses {
+		if err := <-failed; err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func withRuns(k *standin.Worker, next http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) {
+		ids := []string{}
+		for _, run := range k.Runs() {
+			ids = append(ids, run.ID)
+		}
+		_ = json.NewEncoder(w).Encode(ids)
+	})
+	mux.Handle("/", next)
+	return mux
+}
+
+// callersCommand sends requests and judges the answers against what ran.
+func callersCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "callers",
+		Usage: "callers of the users' platform: streams, lookups and bookings, and an audit at the end",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "entry", Required: true, Usage: "`ADDRESS` of an entry"},
+			&cli.StringSliceFlag{Name: "endpoint", Required: true, Usage: "`ADDRESS` of an endpoint, for the audit"},
+			&cli.StringSliceFlag{Name: "rank", Usage: "`ADDRESS` of a rank, for the audit"},
+			&cli.StringFlag{Name: "host", Required: true},
+			&cli.StringFlag{Name: "key", Required: true},
+			&cli.IntFlag{Name: "events", Value: 20},
+			&cli.IntFlag{Name: "rate", Value: 40, Usage: "requests a second"},
+			&cli.DurationFlag{Name: "length", Value: 10 * time.Second},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			tally := standin.RunCallers(ctx, standin.CallersConfig{
+				Entries: c.StringSlice("entry"), Host: c.String("host"), Key: c.String("key"),
+				Events: c.Int("events"), Rate: c.Int("rate"), Length: c.Duration("length"),
+			})
+			findings, err := auditRuns(ctx, c, tally)
+			if err != nil {
+				return err
+			}
+			fmt.Println(tally.Summary())
+			for _, f := range findings {
+				fmt.Println("finding:", f)
+			}
+			if len(findings) > 0 {
+				return cli.Exit(fmt.Sprintf("%d findings", len(findings)), 1)
+			}
+			return nil
+		},
+	}
+}
+
+func auditRuns(ctx context.Context, c *cli.Command, tally *standin.CallersTally) ([]string, error) {
+	runs := map[string]int{}
+	for _, at := range append(c.StringSlice("endpoint"), c.StringSlice("rank")...) {
+		var ids []string
+		if err := fetch(ctx, at, "/runs", &ids); err != nil {
+			return nil, err
+		}
+		for _, id := range ids {
+			runs[id]++
+		}
+	}
+	findings := tally.Judge(runs)
+	for _, at := range c.StringSlice("rank") {
+		var violations []string
+		if err := fetch(ctx, at, "/violations", &violations); err != nil {
+			return nil, err
+		}
+		if len(violations) > 0 {
+			findings = append(findings, "two maps in one step: "+strings.Join(violations, "; "))
+			break
+		}
+	}
+	return findings, nil
+}
+
+func fetch(ctx context.Context, at, path string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at+path, http.NoBody)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return json.NewDecoder(resp.Body).Decode(into)
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -22,9 +22,10 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cli.Command{
-		Name:     "standin",
-		Usage:    "stand-ins for tests and the demo",
-		Commands: []*cli.Command{platformCommand(), engineCommand(), serviceCommand(), relayCommand(), loadCommand(), portsCommand(), callCommand(), auditCommand()},
+		Name:  "standin",
+		Usage: "stand-ins for tests and the demo",
+		Commands: []*cli.Command{platformCommand(), engineCommand(), serviceCommand(), relayCommand(), loadCommand(), portsCommand(), callCommand(), auditCommand(),
+			rowStoreCommand(), workerCommand(), ranksCommand(), callersCommand()},
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
--- a/internal/connection/caller/dispatch.go
+++ b/internal/connection/caller/dispatch.go
@@ -3,19 +3,15 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"strings"
 	"time"
 
-	"google.golang.org/protobuf/types/known/durationpb"
-
 	"github.com/cicadareel/cicadareel/internal/connection/endpoint"
 	"github.com/cicadareel/cicadareel/internal/connection/sidecar"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
 	"github.com/cicadareel/cicadareel/internal/events"
 	"github.com/cicadareel/cicadareel/internal/outcome"
 	"github.com/cicadareel/cicadareel/internal/request/choice"
-	"github.com/cicadareel/cicadareel/internal/request/retry"
 	"github.com/cicadareel/cicadareel/internal/request/transport"
 )
 
@@ -129,48 +125,6 @@
 	}
 }
 
-// mayRetry returns the final outcome if another attempt is not allowed, else
-// nil.
-func (d *dispatch) mayRetry(ctx context.Context, reason outcome.Reason) outcome.Outcome {
-	if ctx.Err() != nil {
-		return d.unfinished(reason)
-	}
-	if reason == outcome.NoEndpoint {
-		return nil
-	}
-	free := retry.Free(reason)
-	if !free {
-		d.sends++
-	}
-	if d.sends >= d.maxAttempts() || d.tries >= freeAttempts {
-		return d.unfinished(reason)
-	}
-	d.owes = d.owes || !free
-	d.service.Metrics.Retried(reason)
-	d.service.log(d.request, events.RequestRetried, events.Fields{"reason": reason, "endpoints": strings.Join(d.endpoints, ","), "tries": d.tries})
-	return nil
-}
-
-func (d *dispatch) maxAttempts() int {
-	if n := d.request.route.MaxAttempts; n > 0 {
-		return n
-	}
-	return retry.MaxAttempts
-}
-
-// unfinished is the honest outcome when no further attempt follows. The answer
-// of an endpoint that failed is better than none.
-func (d *dispatch) unfinished(reason outcome.Reason) outcome.Outcome {
-	if d.failure != nil && !d.delivery.headSent {
-		d.delivery.whole(*d.failure)
-		return outcome.Answered{}
-	}
-	if d.mayHaveRun {
-		return outcome.Unknown{Reason: reason}
-	}
-	return outcome.NotRun{Reason: reason}
-}
-
 // try makes one attempt.
 func (d *dispatch) try(ctx context.Context) next {
 	target, ok := d.service.Fleet.Choose(d.request.group.Name, d.query)
@@ -199,44 +153,6 @@
 	return d.attemptAt(ctx, a)
 }
 
-// pay takes the retry that the next attempt costs from the budget, now that it
-// has an endpoint, and reports whether there was one.
-func (d *dispatch) pay() bool {
-	if !d.owes {
-		return true
-	}
-	d.owes = false
-	return d.service.Budgets.Of(d.request.group.Name).Spend()
-}
-
-// waitForEndpoint gives endpoints a moment to open before refusing. Then all
-// of them may be tried again.
-func (d *dispatch) waitForEndpoint(ctx context.Context) next {
-	waiters := &d.service.waiters
-	defer waiters.Add(-1)
-	if waiters.Add(1) > waitersLimit || d.waited >= d.patience() {
-		return done{outcome: d.unfinished(outcome.NoEndpoint)}
-	}
-	d.query = d.request.query()
-	pause(ctx, endpointPoll)
-	d.waited += endpointPoll
-	return again{reason: outcome.NoEndpoint}
-}
-
-// patience bounds the time that the request waits for an eligible endpoint. A
-// caller with an objective comes back sooner than it would be served here; one
-// whose stream has begun would lose it.
-func (d *dispatch) patience() time.Duration {
-	objective := d.request.route.Objective
-	switch {
-	case objective == 0:
-		return endpointWait
-	case d.delivery.headSent:
-		return resumeWait
-	}
-	return objective / objectiveShare
-}
-
 // number gives the attempt its number.
 func (d *dispatch) number(a *attempt) {
 	d.attempt++
@@ -318,27 +234,6 @@
 	return r
 }
 
-// frame describes an attempt that goes through a gate.
-func (d *dispatch) frame(a attempt) *wire.Begin {
-	q := d.request
-	return &wire.Begin{
-		Id:            a.id,
-		Account:       q.account.Name,
-		Weight:        q.account.Weight,
-		Idempotent:    q.route.Idempotent,
-		KeepAnswer:    q.key != "",
-		Priority:      int32(q.route.Priority),
-		Remaining:     durationpb.New(q.remaining()),
-		BundleVersion: q.version,
-		Incarnation:   a.remote.Incarnation,
-		Epoch:         a.remote.Epoch,
-		Method:        q.method,
-		Target:        q.target,
-		Headers:       headersToWire(q.header),
-		Body:          q.body,
-	}
-}
-
 // after decides what follows from how an exchange ended.
 func (d *dispatch) after(ctx context.Context, a attempt, x transport.Exchange, r result) next {
 	switch k := r.(type) {
@@ -388,21 +283,6 @@
 	return done{outcome: d.unfinished(outcome.EndpointFailed)}
 }
 
-// replay repeats an idempotent request whose attempt may have run, if nothing
-// of its answer went out or the route permits splicing.
-func (d *dispatch) replay(reason outcome.Reason) next {
-	if !d.mayReplay() {
-		return done{outcome: outcome.Unknown{Reason: reason}}
-	}
-	d.mayHaveRun = true
-	return again{reason: reason}
-}
-
-func (d *dispatch) mayReplay() bool {
-	route := d.request.route
-	return route.Idempotent && (!d.delivery.headSent || route.Splice)
-}
-
 // afterTimeout settles an attempt that is out of time: what its gate never
 // admitted did not run.
 func (d *dispatch) afterTimeout(a attempt) next {
@@ -427,62 +307,6 @@
 	}
 }
 
-// askGate asks a sidecar what became of an attempt. One that does not say is
-// asked until the deadline, unless the request can be repeated at another
-// endpoint.
-func (d *dispatch) askGate(ctx context.Context, a attempt, link *sidecar.Link) next {
-	for {
-		reply, err := link.Seal(ctx, a.id, a.remote, false)
-		if err == nil {
-			return d.afterSeal(ctx, a, link, reply)
-		}
-		if d.mayReplay() {
-			d.query.Avoid(a.target.Member)
-			return d.replay(outcome.SealUnanswered)
-		}
-		pause(ctx, lookInterval)
-		if ctx.Err() != nil {
-			return done{outcome: outcome.Unknown{Reason: outcome.SealUnanswered}}
-		}
-	}
-}
-
-func (d *dispatch) afterSeal(ctx context.Context, a attempt, link *sidecar.Link, reply *wire.SealReply) next {
-	switch reply.GetState() {
-	case wire.SealState_SEAL_STATE_NEVER_ADMITTED:
-		d.query.Avoid(a.target.Member)
-		return again{reason: outcome.Sealed}
-	case wire.SealState_SEAL_STATE_RUNNING, wire.SealState_SEAL_STATE_ANSWER_KEPT:
-		return d.resume(ctx, a, link)
-	}
-	d.query.Avoid(a.target.Member)
-	return d.replay(outcome.ConnectionLost)
-}
-
-// resume reads the rest of an answer over the link's next stream.
-func (d *dispatch) resume(ctx context.Context, a attempt, link *sidecar.Link) next {
-	for range resumeTries {
-		x, err := link.Resume(ctx, a.id, a.remote.Incarnation, d.delivery.offset)
-		if err == nil {
-			d.delivery.skip = 0
-			return d.after(ctx, a, x, d.read(ctx, x))
-		}
-		pause(ctx, lookInterval)
-	}
-	if ctx.Err() != nil {
-		return done{outcome: outcome.Unknown{Reason: outcome.ConnectionLost}}
-	}
-	return d.settle(ctx, a)
-}
-
-func headersToWire(h http.Header) []*wire.Header {
-	out := make([]*wire.Header, 0, len(h))
-	for name, values := range h {
-		out = append(out, &wire.Header{Name: name, Values: values})
-	}
-	return out
-}
-
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/process/entry/maps_test.go
+++ b/internal/process/entry/maps_test.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"time"
@@ -35,7 +37,7 @@
 		d.configure(func(c map[string]any) {
 			c["services"] = []any{map[string]any{"name": "models", "max_connections": 100, "engine": map[string]any{
 				"slots": 12, "sets": mapLayers, "experts": mapExperts, "placements": mapPlaces, "spare": 2,
-				"expert_mb": 100, "link_mbps": 44000, "form_ms": 600,
+				"expert_mb": 100, "link_mbps": 44000, "form_ms": 600, "report_lag_ms": 200,
 			}}}
 			c["routes"] = []any{route("draft", "streaming", "models", nil)}
 		})
@@ -61,6 +63,21 @@
 	}
 }
 
+// order gives an order to a rank as a holder with the lowest token would.
+func (d mapDeployment) order(rank int, fields map[string]any) int {
+	GinkgoHelper()
+	fields["epoch"], fields["fencing_token"] = d.ranks.Epoch(), 1
+	body, err := json.Marshal(fields)
+	Expect(err).NotTo(HaveOccurred())
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: d.network.DialNetwork}
+	req, err := http.NewRequest(http.MethodPost, "http://"+placeOf(fmt.Sprintf("rank-%d", rank))+"/-/order", bytes.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	resp, err := transport.RoundTrip(req)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode
+}
+
 // holder returns the entry with the lease, or nil.
 func (d mapDeployment) holder() *testEntry {
 	for _, e := range d.entries {
@@ -153,6 +170,57 @@
 		}
 	})
 
+	It("go on after an earlier holder left a hold", func() {
+		withMaps(0, 1, func(d mapDeployment) {
+			d.order(0, map[string]any{"operation": "reserve", "step": d.ranks.Step() + 4})
+			time.Sleep(500 * time.Millisecond)
+			d.entry("a").ready()
+			time.Sleep(3 * time.Second)
+			Expect(d.ranks.LongestHold()).To(BeNumerically("<", 2*time.Second))
+			Expect(d.ranks.Version()).To(BeNumerically(">", 0))
+		})
+	})
+
+	It("refuse what an earlier holder ordered and arrives late", func() {
+		withMaps(0, 1, func(d mapDeployment) {
+			d.entry("a").ready()
+			time.Sleep(200 * time.Millisecond)
+			step := d.ranks.Step() + 60
+			for i := range mapRanks {
+				Expect(d.order(i, map[string]any{"operation": "reserve", "step": step})).To(Equal(http.StatusPreconditionFailed))
+			}
+		})
+	})
+
+	It("never differ when an earlier holder left ranks armed", func() {
+		for seed := range uint64(48) {
+			withMaps(0, seed, func(d mapDeployment) {
+				layout := make([][][]int32, mapLayers)
+				for l := range layout {
+					layout[l] = make([][]int32, mapRanks)
+					for e := range mapExperts {
+						layout[l][(e+1)%mapRanks] = append(layout[l][(e+1)%mapRanks], int32(e))
+					}
+				}
+				step := d.ranks.Step() + 4 + seed%12
+				for i := range mapRanks {
+					d.order(i, map[string]any{"operation": "prepare", "version": 7, "expert_map": layout})
+					if i%2 == 0 || seed%2 == 0 {
+						d.order(i, map[string]any{"operation": "arm", "version": 7, "step": step + 2})
+					}
+				}
+				if seed%2 == 1 {
+					d.order(0, map[string]any{"operation": "reserve", "step": step})
+				}
+				d.ranks.SetTrouble(standin.RankTrouble{Late: 0.5, LateBy: 3 * time.Second})
+				d.entry("a").ready()
+				time.Sleep(5 * time.Second)
+				d.expectOneMap()
+				Expect(d.ranks.LongestHold()).To(BeNumerically("<", 3*time.Second))
+			})
+		}
+	})
+
 	It("start anew with a group that forms again", func() {
 		withMaps(2, 3, func(d mapDeployment) {
 			time.Sleep(2 * time.Second)
--- a/internal/process/entry/rankgroup.go
+++ b/internal/process/entry/rankgroup.go
@@ -162,7 +162,7 @@
 	}
 	// A rank that is gone is noticed when the stall is over, and reports show
 	// the state some time ago; until then the old epoch proves nothing.
-	if report.Epoch > g.epochNow() || asked > g.directory.settings.Deployment.Stall()+2*reportAge {
+	if report.Epoch > g.epochNow() || asked > g.directory.settings.Deployment.Stall()+2*g.directory.reportAge() {
 		g.open(report.Epoch, "reported")
 	}
 }
@@ -173,6 +173,19 @@
 	return g.epoch
 }
 
+// reportAge is how old the reports of ranks may be.
+func (d *directory) reportAge() time.Duration {
+	longest := time.Duration(0)
+	if b := d.bundle.Load(); b != nil {
+		for _, g := range b.Groups {
+			if g.Experts != nil {
+				longest = max(longest, g.Experts.ReportAge)
+			}
+		}
+	}
+	return longest
+}
+
 // ranksOf returns the ranks of a group that can be reached.
 func (d *directory) ranksOf(group string) []*platform.Rank {
 	d.mu.RLock()
--- a/internal/process/entry/requests_test.go
+++ b/internal/process/entry/requests_test.go
@@ -108,13 +108,15 @@
 		})
 	})
 
-	It("do not run at an endpoint that took over an address", func() {
+	It("do not run at an endpoint of another group that took over an address", func() {
 		within(func() {
-			d.announce("desk-1", "desk", "a", placeOf("desk-2"), func(r map[string]any) { r["born"] = 2 })
+			other := d.worker("other-1", "other", "a", nil)
+			d.announce("desk-1", "desk", "a", placeOf("other-1"), func(r map[string]any) { r["born"] = 2 })
 			time.Sleep(noticeTime)
 			for range 8 {
 				expectAnswer(e.call("/book/x", "r1", nil), "r1")
 			}
+			Expect(other.Runs()).To(BeEmpty())
 			Expect(len(two.Runs())).To(Equal(8))
 		})
 	})
--- a/internal/standin/rankset.go
+++ b/internal/standin/rankset.go
@@ -144,6 +144,13 @@
 	return s.ranks[0].active.version
 }
 
+// Step returns the last step begun.
+func (s *RankSet) Step() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.step
+}
+
 // Epoch returns the present epoch.
 func (s *RankSet) Epoch() uint64 {
 	s.mu.Lock()
--- a/internal/version/expertswitch/recover.go
+++ b/internal/version/expertswitch/recover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 )
 
 // Recovered says what Recover found.
@@ -103,7 +104,7 @@
 		}
 	}
 	for a := range armed {
-		if err := s.disarm(ctx, a, held); err != nil {
+		if err := s.disarm(ctx, a, held, freeOf(reports)); err != nil {
 			return true, err
 		}
 	}
@@ -115,14 +116,19 @@
 	return len(armed)+len(held) > 0, nil
 }
 
-// disarm undoes one arming. A step that has begun needs nothing: every rank has
-// switched by then.
-func (s *Switcher) disarm(ctx context.Context, a Arming, held map[uint64]bool) error {
+// freeOf returns a rank that is not held, since each has one hold at a time.
+func freeOf(reports []Report) int {
+	return max(0, slices.IndexFunc(reports, func(r Report) bool { return r.Held == nil }))
+}
+
+// disarm undoes one arming, under a hold that the free rank takes. A step that
+// has begun needs nothing: every rank has switched by then.
+func (s *Switcher) disarm(ctx context.Context, a Arming, held map[uint64]bool, free int) error {
 	if !held[a.Step] {
-		err := s.give(ctx, 0, Hold{Step: a.Step})
+		err := s.give(ctx, free, Hold{Step: a.Step})
 		var objection *ObjectionError
 		if errors.As(err, &objection) {
-			return nil
+			return s.begun(ctx, a.Step)
 		}
 		if err != nil {
 			return err
@@ -137,6 +143,20 @@
 	return err
 }
 
+// begun checks that the group has begun a step.
+func (s *Switcher) begun(ctx context.Context, step uint64) error {
+	bounded, cancel := context.WithTimeout(ctx, 2*orderTimeout)
+	defer cancel()
+	counts, err := s.ranks[0].Counts(bounded)
+	switch {
+	case err != nil:
+		return err
+	case counts.Epoch != s.epoch || counts.Step < step:
+		return &ChangedError{Group: s.group}
+	}
+	return nil
+}
+
 // possessions reads the layout in use from all ranks. It reports whether no
 // rank has another map at hand.
 func (s *Switcher) possessions(ctx context.Context, layers int) (Layout, bool, error) {
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -87,6 +87,8 @@
 	NewPerRank int `toml:"-"`
 	// FormTime is how long a group that broke takes to form again.
 	FormTime time.Duration `toml:"-"`
+	// ReportAge is how old the reports of ranks may be.
+	ReportAge time.Duration `toml:"-"`
 }
 
 // Endpoint is one model engine or plain service.
