--- a/internal/request/eventstream/splicer.go
+++ b/internal/request/eventstream/splicer.go
@@ -26,8 +26,10 @@
 	// last is the id of the last event passed on, or that the caller has from
 	// an earlier request; 0 before the first.
 	last uint64
-	// torn holds the start of an event that is not whole yet.
-	torn []byte
+	// torn holds the start of an event that is not whole yet, in which no end was
+	// found before searched.
+	torn     []byte
+	searched int
 }
 
 // NewSplicer returns a splicer that continues after the event with the id.
@@ -40,7 +42,7 @@
 func (s *Splicer) Torn() bool { return len(s.torn) > 0 }
 
 // Restart drops the event that a broken run left torn.
-func (s *Splicer) Restart() { s.torn = nil }
+func (s *Splicer) Restart() { s.torn, s.searched = nil, 0 }
 
 // Write takes the next bytes of a run and returns the events that they
 // complete. Events before an error are returned with it.
@@ -48,16 +50,18 @@
 	s.torn = append(s.torn, p...)
 	end := 0
 	for {
-		size := eventLength(s.torn[end:])
+		size := eventLength(s.torn[end:], s.searched)
 		if size == 0 {
 			break
 		}
+		s.searched = 0
 		if err := s.accept(s.torn[end : end+size]); err != nil {
 			return s.cut(end), err
 		}
 		end += size
 	}
 	whole := s.cut(end)
+	s.searched = max(0, len(s.torn)-len(blankLine))
 	if len(s.torn) > maxEventBytes {
 		return whole, &MalformedError{Problem: "event is too long"}
 	}
@@ -66,21 +70,27 @@
 
 // cut removes and returns the first bytes.
 func (s *Splicer) cut(n int) []byte {
+	if n == 0 {
+		return nil
+	}
 	whole := s.torn[:n:n]
 	s.torn = append([]byte(nil), s.torn[n:]...)
 	return whole
 }
 
+// blankLine is the longer of the two ends of an event.
+const blankLine = "\r\n\r\n"
+
 // eventLength returns the length of the first event with its blank line, or 0
-// if it is not whole.
-func eventLength(p []byte) int {
-	lf := bytes.Index(p, []byte("\n\n"))
-	crlf := bytes.Index(p, []byte("\r\n\r\n"))
+// if it is not whole. No end begins before from.
+func eventLength(p []byte, from int) int {
+	lf := bytes.Index(p[from:], []byte("\n\n"))
+	crlf := bytes.Index(p[from:], []byte(blankLine))
 	switch {
 	case lf >= 0 && (crlf < 0 || lf < crlf):
-		return lf + 2
+		return from + lf + 2
 	case crlf >= 0:
-		return crlf + 4
+		return from + crlf + len(blankLine)
 	}
 	return 0
 }
--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -63,7 +63,7 @@
 without "a busy endpoint must say that it did not run" platform/workers.go 's/case promises\(status\)/case false/' ./$entry "may run once"
 without "attempts name their endpoint" platform/workers.go 's/a.Header.Set\(headerEndpoint, name\)//' ./$entry "took over"
 without "events are checked by id" internal/request/eventstream/splicer.go 's/if id != s.last\+1 \{/if false {/' ./$entry "doubled event"
-without "torn events are dropped" internal/request/eventstream/splicer.go 's/func \(s \*Splicer\) Restart\(\) \{ s.torn = nil \}/func (s *Splicer) Restart() {}/' ./$entry "within one answer"
+without "torn events are dropped" internal/request/eventstream/splicer.go 's/\{ s.torn, s.searched = nil, 0 \}/{}/' ./$entry "within one answer"
 without "runs go on after the last event" internal/connection/caller/dispatch.go 's/c.ResumeAfter = d.delivery.events.Last\(\)//' ./$entry "that break go on"
 without "older configurations are ignored" $entry/directory.go 's/b.Version < now.Version/false/' ./$entry "never goes back"
 without "held domains get no work" $entry/directory.go 's/n.member.SetHeld\(held\[.*/n.member.SetHeld(false)/' ./$entry "held failure domain"
