--- a/internal/connection/peer/mirrors.go
+++ b/internal/connection/peer/mirrors.go
@@ -26,9 +26,12 @@
 	// awayPeers is the number of peers asked by a process that cannot reach the
 	// store.
 	awayPeers = 3
-	// followers is the number of processes that follow the store for all. Three
-	// leave one if two are cut off at once.
-	followers = 3
+	// leastFollowers is the number of processes that follow the store for all in
+	// small deployments. Three leave one if two are cut off at once.
+	leastFollowers = 3
+	// perFollower is the number of processes that one follower serves in large
+	// ones, which bounds its calls to some 130 a second.
+	perFollower = 32
 	// followerLife is how long a process counts as a follower after it said so.
 	followerLife = 2 * time.Second
 	// peerLife is how long a peer counts after it was last heard.
@@ -142,8 +145,9 @@
 			before++
 		}
 	}
+	wanted := max(leastFollowers, (1+len(s.live()))/perFollower)
 	was := s.following
-	s.following = others < followers || (was && before < followers)
+	s.following = others < wanted || (was && before < wanted)
 	switch {
 	case s.following && !was:
 		s.log.Info(events.FollowingBegun, events.Fields{"followers": others})
--- a/internal/process/entry/deployment_test.go
+++ b/internal/process/entry/deployment_test.go
@@ -191,6 +191,25 @@
 	time.Sleep(time.Second)
 }
 
+// startPair starts two endpoints of a group in two failure domains and an entry.
+func startPair(name, group string, change func(*standin.Worker)) (d *deployment, e *testEntry, one, two *standin.Worker) {
+	d = newDeployment()
+	one = d.worker(name+"-1", group, "a", change)
+	two = d.worker(name+"-2", group, "b", change)
+	e = d.entry("a")
+	e.ready()
+	return d, e, one, two
+}
+
+// lookups makes a number of requests that must be answered.
+func lookups(e *testEntry, n int) {
+	GinkgoHelper()
+	for i := range n {
+		id := fmt.Sprintf("c%d", i)
+		expectAnswer(e.call("/look/x", id, nil), id)
+	}
+}
+
 // reply is what a caller got.
 type reply struct {
 	status     int
--- a/internal/process/entry/intent_test.go
+++ b/internal/process/entry/intent_test.go
@@ -19,22 +19,12 @@
 
 	within := func(body func()) {
 		inVirtualTime(func() {
-			d = newDeployment()
+			d, e, one, two = startPair("desk", "desk", nil)
 			defer d.close()
-			one = d.worker("desk-1", "desk", "a", nil)
-			two = d.worker("desk-2", "desk", "b", nil)
-			e = d.entry("a")
-			e.ready()
 			body()
 		})
 	}
-	calls := func(n int) {
-		GinkgoHelper()
-		for i := range n {
-			id := fmt.Sprintf("c%d", i)
-			expectAnswer(e.call("/look/x", id, nil), id)
-		}
-	}
+	calls := func(n int) { lookups(e, n) }
 	status := func(path string) int { return e.call(path, "r", nil).status }
 	withoutBooking := func(c map[string]any) {
 		c["routes"] = []any{route("look", "safe", "desk", nil)}
@@ -202,22 +192,12 @@
 
 	within := func(body func()) {
 		inVirtualTime(func() {
-			d = newDeployment()
+			d, e, one, two = startPair("desk", "desk", nil)
 			defer d.close()
-			one = d.worker("desk-1", "desk", "a", nil)
-			two = d.worker("desk-2", "desk", "b", nil)
-			e = d.entry("a")
-			e.ready()
 			body()
 		})
 	}
-	calls := func(n int) {
-		GinkgoHelper()
-		for i := range n {
-			id := fmt.Sprintf("c%d", i)
-			expectAnswer(e.call("/look/x", id, nil), id)
-		}
-	}
+	calls := func(n int) { lookups(e, n) }
 
 	It("get no new work once they drain", func() {
 		within(func() {
--- a/internal/process/entry/requests_test.go
+++ b/internal/process/entry/requests_test.go
@@ -21,12 +21,8 @@
 	// within runs a body on a deployment with two plain endpoints.
 	within := func(body func()) {
 		inVirtualTime(func() {
-			d = newDeployment()
+			d, e, one, two = startPair("desk", "desk", nil)
 			defer d.close()
-			one = d.worker("desk-1", "desk", "a", nil)
-			two = d.worker("desk-2", "desk", "b", nil)
-			e = d.entry("a")
-			e.ready()
 			body()
 		})
 	}
@@ -171,13 +167,8 @@
 
 	within := func(body func()) {
 		inVirtualTime(func() {
-			d = newDeployment()
+			d, e, one, two = startPair("model", "models", func(k *standin.Worker) { k.Events = 20 })
 			defer d.close()
-			stream := func(k *standin.Worker) { k.Events = 20 }
-			one = d.worker("model-1", "models", "a", stream)
-			two = d.worker("model-2", "models", "b", stream)
-			e = d.entry("a")
-			e.ready()
 			body()
 		})
 	}
