Remove a reason, a field and a result that nothing uses

Cause: read as a newcomer: the refusal reason badAnswer is never given, the bound on connections is decoded and never read, and the cold rate has a second result that its only caller drops.

Change: all three are gone; an endpoint's update says in one condition when its cold time is looked at.

--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -54,7 +54,6 @@
 	ShuttingDown        Reason = "shuttingDown"
 	Shed                Reason = "shed"
 	EndpointFailed      Reason = "endpointFailed"
-	BadAnswer           Reason = "badAnswer"
 	EventsOutOfOrder    Reason = "eventsOutOfOrder"
 )
 
@@ -65,7 +64,7 @@
 		StaleView, QueueFull, DeadlineTooShort, WrongIncarnation, OldEpoch, Sealed,
 		AlreadyAdmitted, NotReady, ClaimStoreDown, KeyReused, AnswerNotKept,
 		RetryBudgetSpent, EndpointUnreachable, EndpointBroke, ConnectionLost,
-		SealUnanswered, Canceled, ShuttingDown, Shed, EndpointFailed, BadAnswer,
+		SealUnanswered, Canceled, ShuttingDown, Shed, EndpointFailed,
 		EventsOutOfOrder,
 	}
 }
--- a/internal/process/entry/directory.go
+++ b/internal/process/entry/directory.go
@@ -289,17 +289,17 @@
 
 // coldRate is the rate at which this entry may send to one cold endpoint of a
 // group, in requests a second.
-func (d *directory) coldRate(group string) (float64, time.Duration) {
+func (d *directory) coldRate(group string) float64 {
 	b := d.bundle.Load()
 	if b == nil || b.Group(group) == nil {
-		return 0, 0
+		return 0
 	}
 	g := b.Group(group)
 	if g.ColdPerSecond == 0 {
-		return 0, 0
+		return 0
 	}
 	all := g.ColdPerSecond*d.settings.Deployment.ColdFactor + d.settings.Deployment.ColdTolerance
-	return all / float64(d.entries.Load()), g.ColdFor
+	return all / float64(d.entries.Load())
 }
 
 func (d *directory) newClient(info roster.Endpoint) *endpoint.Client {
--- a/internal/process/entry/worker.go
+++ b/internal/process/entry/worker.go
@@ -57,21 +57,20 @@
 
 // update takes a newer announcement.
 func (w *worker) update(info roster.Endpoint) {
-	fresh := info.Revision != w.info.Revision || !w.info.Leaving && info.Leaving
+	fresh := info.Revision != w.info.Revision || !w.member.Known()
 	if info.Leaving && !w.info.Leaving {
 		w.directory.log.Info(events.EndpointRemoved, events.Fields{"endpoint": info.Name, "reason": "leaving", "revision": info.Revision})
 	}
-	first := !w.member.Known()
 	w.info = info
 	w.member.Update(info.Slots, 0, !info.Leaving)
-	if fresh || first {
+	if fresh {
 		w.warmUp(info)
 	}
 }
 
 // warmUp limits the work of an endpoint that says it is cold.
 func (w *worker) warmUp(info roster.Endpoint) {
-	rate, _ := w.directory.coldRate(info.Group)
+	rate := w.directory.coldRate(info.Group)
 	if rate == 0 || info.ColdFor <= 0 {
 		return
 	}
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -63,9 +63,6 @@
 	// need no care. ColdPerSecond is the rate of requests that it bears then.
 	ColdFor       time.Duration `toml:"-"`
 	ColdPerSecond float64       `toml:"-"`
-	// Connections bounds the connections to one endpoint from all processes;
-	// 0 if not limited.
-	Connections int `toml:"-"`
 }
 
 // Experts describes the experts of a model group and the cost of moving them.
