Tell peers how much longer a lapsed row counts

An entry that had lost the store keeps missing rows for 2.2 s after its return. It told peers of them as lapsed, without the time left, and each peer began the 2.2 s anew; one took back an endpoint that it had removed already. With logs of exchanges: the peer took the lapsed row 23 ms after the removal, from an entry that dropped it 0.7 s later.

Change: the message carries the time that is left, and whether the sender has reached the store for so long that a missing row cannot be due to an outage; the word of such a one is final. First contact with the store is not a return.

--- a/internal/connection/peer/mirrors.go
+++ b/internal/connection/peer/mirrors.go
@@ -225,11 +225,11 @@
 
 // adopt takes a newer copy.
 func (s *Mirrors) adopt(c *wire.TableCopy) {
-	snapshot := mirror.Snapshot{Revision: c.GetRevision()}
+	snapshot := mirror.Snapshot{Revision: c.GetRevision(), Settled: c.GetSettled()}
 	for _, r := range c.GetRows() {
 		row := table.Row{Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision()}
-		if r.GetLapsed() {
-			snapshot.Lapsed = append(snapshot.Lapsed, row)
+		if r.GetLapsedFor() != nil {
+			snapshot.Lapsed = append(snapshot.Lapsed, mirror.Lapse{Row: row, For: r.GetLapsedFor().AsDuration()})
 			continue
 		}
 		snapshot.Rows = append(snapshot.Rows, row)
@@ -268,12 +268,12 @@
 
 func (s *Mirrors) copyOf(t mirror.Topic) *wire.TableCopy {
 	snapshot, _ := s.mirror.Snapshot(t)
-	out := &wire.TableCopy{Topic: string(t), Revision: snapshot.Revision}
+	out := &wire.TableCopy{Topic: string(t), Revision: snapshot.Revision, Settled: snapshot.Settled}
 	for _, r := range snapshot.Rows {
 		out.Rows = append(out.Rows, &wire.TableRow{Key: r.Key, Value: r.Value, Revision: r.Revision})
 	}
-	for _, r := range snapshot.Lapsed {
-		out.Rows = append(out.Rows, &wire.TableRow{Key: r.Key, Value: r.Value, Revision: r.Revision, Lapsed: true})
+	for _, l := range snapshot.Lapsed {
+		out.Rows = append(out.Rows, &wire.TableRow{Key: l.Row.Key, Value: l.Row.Value, Revision: l.Row.Revision, LapsedFor: DurationToWire(l.For)})
 	}
 	return out
 }
--- a/internal/version/mirror/mirror.go
+++ b/internal/version/mirror/mirror.go
@@ -30,12 +30,28 @@
 type Snapshot struct {
 	Rows []table.Row
 	// Lapsed are rows that are gone and count for a little longer.
-	Lapsed   []table.Row
+	Lapsed   []Lapse
 	Revision uint64
+	// Settled is true if whoever read the table has reached the store for so long
+	// that rows are not missing because of an outage.
+	Settled bool
+}
+
+// Lapse is a row that is gone.
+type Lapse struct {
+	Row table.Row
+	// For is how much longer the row counts.
+	For time.Duration
 }
 
 // All returns the rows with those that lapsed.
-func (s Snapshot) All() []table.Row { return append(slices.Clone(s.Rows), s.Lapsed...) }
+func (s Snapshot) All() []table.Row {
+	all := slices.Clone(s.Rows)
+	for _, l := range s.Lapsed {
+		all = append(all, l.Row)
+	}
+	return all
+}
 
 // Delta is what changed in a table up to a revision.
 type Delta struct {
@@ -68,11 +84,12 @@
 type Mirror struct {
 	mu     sync.Mutex
 	topics map[Topic]*copyOf
-	// missed is the time of the last failed call to the store, returned that of
-	// the first good one after it.
-	missed, returned time.Time
-	// away is true from a failed call to the next good one.
-	away bool
+	// reached is the time of the first good call to the store, of all or after a
+	// failed one, returned only of one after a failed one.
+	reached, returned time.Time
+	// away is true from a failed call to the next good one, resting while this
+	// process leaves the store to others.
+	away, resting bool
 	// changed is closed and replaced with each change.
 	changed chan struct{}
 }
@@ -90,7 +107,7 @@
 func (m *Mirror) Missed() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.away, m.missed = true, time.Now()
+	m.away = true
 }
 
 // Reached notes a good call to the store.
@@ -98,15 +115,25 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.away {
-		m.away, m.returned = false, time.Now()
+		m.returned = time.Now()
+	}
+	if m.away || m.reached.IsZero() {
+		m.reached = time.Now()
 	}
+	m.away, m.resting = false, false
 }
 
 // Rest notes that this process leaves the store to others.
 func (m *Mirror) Rest() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.away = false
+	m.away, m.resting = false, true
+}
+
+// settled reports whether this process has reached the store for long enough to
+// know which rows are gone for good.
+func (m *Mirror) settled() bool {
+	return !m.away && !m.resting && !m.reached.IsZero() && time.Since(m.reached) > lapseGrace
 }
 
 // Away reports whether the last call to the store failed.
@@ -129,12 +156,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c := m.topics[t]
-	s := Snapshot{Revision: c.revision}
+	s := Snapshot{Revision: c.revision, Settled: m.settled()}
 	for _, row := range c.rows {
 		s.Rows = append(s.Rows, row)
 	}
 	for _, l := range c.lapsed {
-		s.Lapsed = append(s.Lapsed, l.row)
+		s.Lapsed = append(s.Lapsed, Lapse{Row: l.row, For: max(0, time.Until(m.end(l)))})
 	}
 	slices.SortFunc(s.Rows, func(a, b table.Row) int { return strings.Compare(a.Key, b.Key) })
 	return s, c.known
@@ -148,18 +175,25 @@
 	if c.known && s.Revision <= c.revision {
 		return false
 	}
+	if s.Settled {
+		clear(c.lapsed)
+	}
 	kept := map[string]bool{}
 	for _, row := range s.Rows {
 		kept[row.Key] = true
 		c.put(row)
 	}
 	for key := range c.rows {
-		if !kept[key] {
+		switch {
+		case kept[key]:
+		case s.Settled:
+			delete(c.rows, key)
+		default:
 			m.remove(t, key)
 		}
 	}
-	for _, row := range s.Lapsed {
-		c.lapsed[row.Key] = lapse{row: row, until: time.Now().Add(lapseGrace)}
+	for _, l := range s.Lapsed {
+		c.lapsed[l.Row.Key] = lapse{row: l.Row, until: time.Now().Add(l.For)}
 	}
 	c.known, c.revision = true, s.Revision
 	m.signal()
@@ -194,6 +228,18 @@
 	}
 }
 
+// end returns the time until which a lapsed row counts: while the store is away,
+// nobody knows how long that will be.
+func (m *Mirror) end(l lapse) time.Time {
+	switch {
+	case m.away:
+		return time.Now().Add(lapseGrace)
+	case m.returned.Add(lapseGrace).After(l.until):
+		return m.returned.Add(lapseGrace)
+	}
+	return l.until
+}
+
 // remove drops a row. An endpoint's row that went while the store was away, or
 // just after, counts on for a while.
 func (m *Mirror) remove(t Topic, key string) {
@@ -216,13 +262,10 @@
 func (m *Mirror) Sweep() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.away {
-		return
-	}
 	swept := false
 	for _, c := range m.topics {
 		for key, l := range c.lapsed {
-			if until := later(l.until, m.returned.Add(lapseGrace)); !time.Now().Before(until) {
+			if !time.Now().Before(m.end(l)) {
 				delete(c.lapsed, key)
 				swept = true
 			}
@@ -233,13 +276,6 @@
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 func (m *Mirror) signal() {
 	close(m.changed)
 	m.changed = make(chan struct{})
