Give a started process its reserve of retries after a window

Cause: a random schedule of requests, retries and restarts over several entries, against an account of all of them, found 162 retries in a window that allows 114.8: a process that starts had its whole reserve at once, though the process before it may have used the same share within the window.

Ruled out: the split between entries (holds without restarts in all schedules).

Change: the reserve comes a window after the start; until then requests and time earn retries.

--- a/internal/process/entry/deployment_test.go
+++ b/internal/process/entry/deployment_test.go
@@ -159,7 +159,7 @@
 	}
 	s.TLS.Insecure = true
 	s.Deployment = settings.Deployment{
-		StoreAddress: netip.MustParseAddrPort(storePlace), RetryRatio: 0.2, RetrySlack: 88, RetryWindowMs: 10000,
+		StoreAddress: netip.MustParseAddrPort(storePlace), RetryRatio: 0.2, RetrySlack: 88, RetryWindowMs: retryWindow.Milliseconds(),
 		ColdFactor: 1.5, ColdTolerance: 5, GraceMs: 8000, StallMs: 1500,
 	}
 	ctx, stop := context.WithCancel(context.Background())
@@ -191,13 +191,18 @@
 	time.Sleep(time.Second)
 }
 
-// startPair starts two endpoints of a group in two failure domains and an entry.
+// retryWindow is the time after which a started entry has its reserve of retries.
+const retryWindow = 10 * time.Second
+
+// startPair starts two endpoints of a group in two failure domains and an entry
+// that has run for a while.
 func startPair(name, group string, change func(*standin.Worker)) (d *deployment, e *testEntry, one, two *standin.Worker) {
 	d = newDeployment()
 	one = d.worker(name+"-1", group, "a", change)
 	two = d.worker(name+"-2", group, "b", change)
 	e = d.entry("a")
 	e.ready()
+	time.Sleep(retryWindow)
 	return d, e, one, two
 }
 
--- a/internal/request/retry/retry.go
+++ b/internal/request/retry/retry.go
@@ -25,6 +25,9 @@
 	Reserve float64
 	// PerSecond is the number of retries that time alone earns.
 	PerSecond float64
+	// Window is the time for which retries of an earlier process at this place
+	// count: its successor has no reserve before. 0 gives the reserve at once.
+	Window time.Duration
 }
 
 // DefaultTerms are those of the product itself.
@@ -39,18 +42,22 @@
 // in a window make up no more than the slack.
 func SharedTerms(ratio, slack float64, window time.Duration, entries int) Terms {
 	own := slack / float64(max(1, entries))
-	return Terms{Ratio: ratio, Reserve: own * atOnce, PerSecond: own * (1 - atOnce) / window.Seconds()}
+	return Terms{Ratio: ratio, Reserve: own * atOnce, PerSecond: own * (1 - atOnce) / window.Seconds(), Window: window}
 }
 
 // Budgets holds a budget for each group. It is safe for concurrent use.
 type Budgets struct {
-	mu     sync.Mutex
-	terms  Terms
-	groups map[string]*Budget
+	mu      sync.Mutex
+	terms   Terms
+	groups  map[string]*Budget
+	started time.Time
 }
 
-// NewBudgets returns full budgets on the given terms.
-func NewBudgets(t Terms) *Budgets { return &Budgets{terms: t, groups: map[string]*Budget{}} }
+// NewBudgets returns budgets on the given terms that have their reserve once
+// the terms' window has passed.
+func NewBudgets(t Terms) *Budgets {
+	return &Budgets{terms: t, groups: map[string]*Budget{}, started: time.Now()}
+}
 
 // SetTerms replaces the terms of all groups.
 func (b *Budgets) SetTerms(t Terms) {
@@ -68,7 +75,7 @@
 	defer b.mu.Unlock()
 	g := b.groups[group]
 	if g == nil {
-		g = &Budget{terms: b.terms, tokens: b.terms.Reserve, filled: time.Now()}
+		g = &Budget{terms: b.terms, reserveAt: b.started.Add(b.terms.Window), filled: time.Now()}
 		b.groups[group] = g
 	}
 	return g
@@ -80,6 +87,8 @@
 	mu     sync.Mutex
 	terms  Terms
 	tokens float64
+	// reserveAt is when the reserve comes; zero once it has.
+	reserveAt time.Time
 	// filled is the time up to which PerSecond was added.
 	filled time.Time
 }
@@ -91,10 +100,21 @@
 	b.tokens = min(b.tokens, t.Reserve)
 }
 
+// fill adds what time alone earns.
+func (b *Budget) fill() {
+	now := time.Now()
+	b.tokens = min(b.tokens+now.Sub(b.filled).Seconds()*b.terms.PerSecond, b.terms.Reserve)
+	b.filled = now
+	if !b.reserveAt.IsZero() && !now.Before(b.reserveAt) {
+		b.tokens, b.reserveAt = b.terms.Reserve, time.Time{}
+	}
+}
+
 // Earn notes a new request.
 func (b *Budget) Earn() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.fill()
 	b.tokens = min(b.tokens+b.terms.Ratio, b.terms.Reserve)
 }
 
@@ -102,9 +122,7 @@
 func (b *Budget) Spend() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
-	b.tokens = min(b.tokens+now.Sub(b.filled).Seconds()*b.terms.PerSecond, b.terms.Reserve)
-	b.filled = now
+	b.fill()
 	if b.tokens < 1 {
 		return false
 	}
