Bound what many entries send to a cold endpoint in a second

Cause: each entry may send one request at once whatever its share, so that 17 entries could exceed a bound of 44 in a second and 410 exceed any.

Change: a share splits into a burst and a rate that together keep to it within any second. Where shares fall below two requests, the entries that send choose themselves by hash of entry and endpoint, so that on average half of the bound is used; the others wait until the endpoint is warm. A counter that nothing read is removed from the planning of maps.

Conclusion: the bound holds at any number of entries.

--- a/internal/process/entry/directory.go
+++ b/internal/process/entry/directory.go
@@ -287,19 +287,14 @@
 	return 0
 }
 
-// coldRate is the rate at which this entry may send to one cold endpoint of a
-// group, in requests a second.
-func (d *directory) coldRate(group string) float64 {
+// coldShare is what this entry may send to a cold endpoint.
+func (d *directory) coldShare(e roster.Endpoint) (choice.ColdShare, bool) {
 	b := d.bundle.Load()
-	if b == nil || b.Group(group) == nil {
-		return 0
-	}
-	g := b.Group(group)
-	if g.ColdPerSecond == 0 {
-		return 0
+	if b == nil || b.Group(e.Group) == nil || b.Group(e.Group).ColdPerSecond == 0 {
+		return choice.ColdShare{}, false
 	}
-	all := g.ColdPerSecond*d.settings.Deployment.ColdFactor + d.settings.Deployment.ColdTolerance
-	return all / float64(d.entries.Load())
+	all := b.Group(e.Group).ColdPerSecond*d.settings.Deployment.ColdFactor + d.settings.Deployment.ColdTolerance
+	return choice.ShareCold(all, int(d.entries.Load()), d.settings.Instance, e.Name), true
 }
 
 func (d *directory) newClient(info roster.Endpoint) *endpoint.Client {
--- a/internal/process/entry/mapcare.go
+++ b/internal/process/entry/mapcare.go
@@ -127,13 +127,11 @@
 		return nil
 	}
 	next := make([]expertplan.Holdings, len(c.layers))
-	most := 0
 	limits := expertplan.Limits{Places: c.group.shape.SlotsPerRank, New: min(newPerRank, c.group.shape.NewPerRank), Goal: goalSkew, Slowness: c.slowness}
 	loading := 0
 	for i, h := range c.layers {
 		next[i] = expertplan.Relieve(h, c.popularity[i], limits)
 		loading += h.NewExperts(next[i])
-		most = max(most, loading)
 	}
 	after := c.skew(next)
 	return c.change(ctx, next, before, after, loading)
--- a/internal/process/entry/worker.go
+++ b/internal/process/entry/worker.go
@@ -11,14 +11,9 @@
 	"github.com/cicadareel/cicadareel/platform"
 )
 
-const (
-	// downTime is how long an endpoint gets no work after a connection to it
-	// could not be opened. Endpoints that are gone leave the list meanwhile.
-	downTime = time.Second
-	// coldShare is the part of a cold endpoint's rate that arrives evenly; the
-	// rest is for the burst that a full bucket allows.
-	coldShare = 0.75
-)
+// downTime is how long an endpoint gets no work after a connection to it could
+// not be opened. Endpoints that are gone leave the list meanwhile.
+const downTime = time.Second
 
 // worker is one endpoint that attempts go straight to.
 type worker struct {
@@ -70,11 +65,9 @@
 
 // warmUp limits the work of an endpoint that says it is cold.
 func (w *worker) warmUp(info roster.Endpoint) {
-	rate := w.directory.coldRate(info.Group)
-	if rate == 0 || info.ColdFor <= 0 {
-		return
+	if share, limited := w.directory.coldShare(info); limited && info.ColdFor > 0 {
+		w.member.Warmup.Cold(time.Now().Add(info.ColdFor), share)
 	}
-	w.member.Warmup.Cold(time.Now().Add(info.ColdFor), rate*coldShare)
 }
 
 // retire ends the worker's use.
--- a/internal/request/choice/choice_test.go
+++ b/internal/request/choice/choice_test.go
@@ -10,7 +10,10 @@
 	"github.com/cicadareel/cicadareel/internal/request/choice"
 )
 
+var suite *testing.T
+
 func TestChoice(t *testing.T) {
+	suite = t
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "choice")
 }
--- a/internal/request/choice/warmup.go
+++ b/internal/request/choice/warmup.go
@@ -1,41 +1,72 @@
 package choice
 
 import (
+	"math"
 	"sync"
 	"time"
+
+	"github.com/cicadareel/cicadareel/internal/rendezvous"
+)
+
+const (
+	// burstShare is the part of a process's share that may come at once; the rest
+	// comes evenly.
+	burstShare = 0.25
+	// leastShare is the smallest share that is of use: one request at once and one
+	// more each second.
+	leastShare = 2
+	// chosenShare is the share of each process where there are too many for all to
+	// send. They choose themselves by chance, so their number varies; at half of
+	// the limit it stays within.
+	chosenShare = 2 * leastShare
 )
 
+// ColdShare is what one process may send to a cold endpoint: within any second
+// no more than Burst and PerSecond together.
+type ColdShare struct{ Burst, PerSecond float64 }
+
+// ShareCold splits the requests that a cold endpoint bears in any second between
+// a number of processes. Where they are too many for a useful share each, some
+// chosen by hash send and the others wait until the endpoint is warm.
+func ShareCold(perSecond float64, processes int, process, endpoint string) ColdShare {
+	share := perSecond / float64(max(1, processes))
+	if share < leastShare {
+		chosen := perSecond / chosenShare / float64(processes)
+		if float64(rendezvous.Score(process, endpoint)) >= chosen*math.MaxUint64 {
+			return ColdShare{}
+		}
+		share = leastShare
+	}
+	burst := max(1, share*burstShare)
+	return ColdShare{Burst: burst, PerSecond: share - burst}
+}
+
 // Warmup is a token bucket for the requests of one entry to one cold endpoint.
 // It is safe for concurrent use.
 type Warmup struct {
 	mu sync.Mutex
 	// until is the end of the cold time; zero if the endpoint is warm.
-	until time.Time
-	// rate is in requests a second, size in requests.
-	rate, size float64
-	tokens     float64
-	filled     time.Time
+	until  time.Time
+	share  ColdShare
+	tokens float64
+	filled time.Time
 }
 
-// Cold notes that the endpoint stays cold until then and bears that many
-// requests a second from this entry. A later end replaces an earlier one.
-func (w *Warmup) Cold(until time.Time, rate float64) {
+// Cold notes that the endpoint stays cold until then and what this entry may
+// send to it. A later end replaces an earlier one.
+func (w *Warmup) Cold(until time.Time, s ColdShare) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
 	if now.After(w.until) {
-		w.tokens, w.filled = 1, now
+		w.tokens, w.filled = min(1, s.Burst), now
 	}
 	if until.After(w.until) {
 		w.until = until
 	}
-	w.rate = rate
-	w.size = max(1, rate/coldBurst)
+	w.share = s
 }
 
-// coldBurst is the part of a second's requests that may come at once.
-const coldBurst = 4
-
 // Ready reports whether a request may be sent now.
 func (w *Warmup) Ready() bool {
 	w.mu.Lock()
@@ -63,7 +94,7 @@
 	if !now.Before(w.until) {
 		return true
 	}
-	w.tokens = min(w.size, w.tokens+now.Sub(w.filled).Seconds()*w.rate)
+	w.tokens = min(w.share.Burst, w.tokens+now.Sub(w.filled).Seconds()*w.share.PerSecond)
 	w.filled = now
 	return false
 }
--- /dev/null
+++ b/internal/request/choice/warmup_test.go
@@ -0,0 +1,96 @@
+package choice_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/cicadareel/cicadareel/internal/request/choice"
+)
+
+var _ = BeforeSuite(func() {
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+})
+
+// coldEntries are the buckets of some entries for one endpoint.
+func coldEntries(n int, endpoint string, limit float64) []*choice.Warmup {
+	all := make([]*choice.Warmup, n)
+	for i := range all {
+		all[i] = &choice.Warmup{}
+		all[i].Cold(time.Now().Add(time.Minute), choice.ShareCold(limit, n, fmt.Sprint("entry", i), endpoint))
+	}
+	return all
+}
+
+// sendAll sends all that the buckets allow after each pause, in milliseconds.
+func sendAll(buckets []*choice.Warmup, pauses []int) []time.Time {
+	var sent []time.Time
+	for _, ms := range pauses {
+		time.Sleep(time.Duration(ms) * time.Millisecond)
+		for _, w := range buckets {
+			for w.Ready() && w.Take() {
+				sent = append(sent, time.Now())
+			}
+		}
+	}
+	return sent
+}
+
+// most returns the most requests within any second.
+func most(sent []time.Time) int {
+	busiest, from := 0, 0
+	for i, at := range sent {
+		for at.Sub(sent[from]) >= time.Second {
+			from++
+		}
+		busiest = max(busiest, i-from+1)
+	}
+	return busiest
+}
+
+var _ = Describe("a cold endpoint", func() {
+	It("gets no more in any second than it bears, from however many entries", func() {
+		rapid.Check(suite, func(t *rapid.T) {
+			entries := rapid.IntRange(1, 430).Draw(t, "entries")
+			limit := rapid.Float64Range(6, 80).Draw(t, "limit")
+			endpoint := rapid.StringMatching("[a-z]{6}").Draw(t, "endpoint")
+			pauses := rapid.SliceOfN(rapid.IntRange(0, 900), 1, 30).Draw(t, "pauses")
+			var sent []time.Time
+			synctest.Test(suite, func(*testing.T) { sent = sendAll(coldEntries(entries, endpoint, limit), pauses) })
+			if n := most(sent); float64(n) > limit {
+				t.Fatalf("%d requests within a second", n)
+			}
+		})
+	})
+
+	It("gets some of the requests of 410 entries", func() {
+		synctest.Test(suite, func(*testing.T) {
+			sent := 0
+			for _, w := range coldEntries(410, "e", 44) {
+				for w.Take() {
+					sent++
+				}
+			}
+			Expect(sent).To(BeNumerically(">", 3))
+		})
+	})
+
+	It("is warm after its time", func() {
+		synctest.Test(suite, func(*testing.T) {
+			w := &choice.Warmup{}
+			w.Cold(time.Now().Add(time.Second), choice.ColdShare{})
+			Expect(w.Take()).To(BeFalse())
+			time.Sleep(time.Second)
+			Expect(w.Take()).To(BeTrue())
+		})
+	})
+})
