Keep endpoints out whose address another one has

An endpoint that was found to be another one was left out only until the next change of the table, which made every announced endpoint reachable again, and a repeat after its refusal cost nothing though it counts as an arrival. The same update set the endpoint's load as this entry knows it to none.

Ruled out: restarts of entries (none in the window), repeats of broken streams (64, within the budget).

Change: an announcement sets limit and openness only; what the entry learned of the endpoint stays until a new incarnation. An attempt that reached another endpoint costs a retry of the budget, and none of the route's attempts: it ran nowhere. Its reason is its own now.

--- a/internal/connection/caller/retrying.go
+++ b/internal/connection/caller/retrying.go
@@ -19,14 +19,14 @@
 	if reason == outcome.NoEndpoint {
 		return nil
 	}
-	free := retry.Free(reason)
-	if !free {
+	cost := retry.CostOf(reason)
+	if cost == retry.Run {
 		d.sends++
 	}
 	if d.sends >= d.maxAttempts() || d.tries >= freeAttempts {
 		return d.unfinished(reason)
 	}
-	d.owes = d.owes || !free
+	d.owes = d.owes || cost != retry.None
 	d.service.Metrics.Retried(reason)
 	d.service.log(d.request, events.RequestRetried, events.Fields{"reason": reason, "endpoints": strings.Join(d.endpoints, ","), "tries": d.tries})
 	return nil
--- a/internal/connection/endpoint/direct.go
+++ b/internal/connection/endpoint/direct.go
@@ -184,7 +184,7 @@
 	case NotExecuted:
 		x.end(Shed{}, transport.Refused{Reason: outcome.Shed})
 	case Misdirected:
-		x.end(Replaced{}, transport.Refused{Reason: outcome.WrongIncarnation})
+		x.end(Replaced{}, transport.Refused{Reason: outcome.EndpointReplaced})
 	case Foreign:
 		x.end(Lost{}, transport.Broken{})
 	}
--- a/internal/measure/policies_test.go
+++ b/internal/measure/policies_test.go
@@ -231,7 +231,7 @@
 			reason = outcome.EndpointBroke
 		}
 		q.Avoid(m)
-		if !retry.Free(reason) && !d.budget.Spend() {
+		if retry.CostOf(reason) != retry.None && !d.budget.Spend() {
 			return false, false, attempts
 		}
 	}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -38,6 +38,7 @@
 	QueueFull           Reason = "queueFull"
 	DeadlineTooShort    Reason = "deadlineTooShort"
 	WrongIncarnation    Reason = "wrongIncarnation"
+	EndpointReplaced    Reason = "endpointReplaced"
 	OldEpoch            Reason = "oldEpoch"
 	Sealed              Reason = "sealed"
 	AlreadyAdmitted     Reason = "alreadyAdmitted"
@@ -61,7 +62,7 @@
 func Reasons() []Reason {
 	return []Reason{
 		Unauthorized, NoRoute, Malformed, TooLarge, NoBundle, Overloaded, NoEndpoint, Held, Leaving,
-		StaleView, QueueFull, DeadlineTooShort, WrongIncarnation, OldEpoch, Sealed,
+		StaleView, QueueFull, DeadlineTooShort, WrongIncarnation, EndpointReplaced, OldEpoch, Sealed,
 		AlreadyAdmitted, NotReady, ClaimStoreDown, KeyReused, AnswerNotKept,
 		RetryBudgetSpent, EndpointUnreachable, EndpointBroke, ConnectionLost,
 		SealUnanswered, Canceled, ShuttingDown, Shed, EndpointFailed,
--- a/internal/process/entry/deployment_test.go
+++ b/internal/process/entry/deployment_test.go
@@ -25,6 +25,7 @@
 
 func TestEntry(t *testing.T) {
 	bubble = t
+	fixSchedules()
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "entry")
 }
--- a/internal/process/entry/requests_test.go
+++ b/internal/process/entry/requests_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/url"
 	"strings"
@@ -117,6 +118,34 @@
 		})
 	})
 
+	It("are not sent again to an address that was taken over, whatever else is announced", func() {
+		within(func() {
+			other := d.worker("other-1", "other", "a", nil)
+			d.announce("desk-1", "desk", "a", placeOf("other-1"), func(r map[string]any) { r["born"] = 2 })
+			for i := range 10 {
+				d.announce("desk-3", "desk", "a", "10.99.0.1:1", func(r map[string]any) { r["born"] = i })
+				time.Sleep(noticeTime)
+				lookups(e, 4)
+			}
+			Expect(other.Misdirected()).To(Equal(1))
+		})
+	})
+
+	It("that an address's new owner turned away are repeated within the budget only", func() {
+		inVirtualTime(func() {
+			d := newDeployment()
+			defer d.close()
+			other := d.worker("other-1", "other", "a", nil)
+			for i := range 8 {
+				d.announce(fmt.Sprintf("gone-%d", i), "desk", "a", placeOf("other-1"), nil)
+			}
+			e := d.entry("a")
+			e.ready()
+			expectNotRun(e.call("/look/x", "r1", nil))
+			Expect(other.Misdirected()).To(Equal(1), "no retry is earned yet")
+		})
+	})
+
 	It("get a final answer at the route's time, and the endpoint stops", func() {
 		within(func() {
 			both(standin.Stalls)
--- /dev/null
+++ b/internal/process/entry/schedules_test.go
@@ -0,0 +1,180 @@
+package entry
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	"pgregory.net/rapid"
+
+	"github.com/cicadareel/cicadareel/internal/standin"
+)
+
+// fixSchedules makes random schedules the same in every run, unless a seed is
+// given.
+func fixSchedules() {
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+// anyFaults are the ways in which an endpoint treats its next requests.
+var anyFaults = rapid.SliceOfN(rapid.SampledFrom([]standin.Fault{
+	standin.Sound, standin.Sound, standin.Sheds, standin.Fails, standin.LosesAnswer, standin.Truncates,
+	standin.Unsigned, standin.Confuses, standin.ClaimsBusy, standin.Stalls, standin.Doubles, standin.Tears,
+}), 0, 40)
+
+// sent is a request and what its caller got.
+type sent struct {
+	route, id string
+	reply     reply
+}
+
+// judge returns the promises that an answer breaks, given how often the request
+// ran. It keeps no state but the count, so that it can forget nothing.
+func (s sent) judge(runs int) []string {
+	var broken []string
+	claim := func(holds bool, promise string) {
+		if !holds {
+			broken = append(broken, fmt.Sprintf("%s %s, status %d, ran %d times: %s", s.route, s.id, s.reply.status, runs, promise))
+		}
+	}
+	claim(runs <= 2, "runs at no more endpoints than the route allows")
+	claim(s.route != "book" || runs <= 1, "what may run once does")
+	claim(s.reply.status != http.StatusServiceUnavailable || runs == 0, "what is said not to have run has not")
+	stream := s.route == "draft" || s.route == "once"
+	claim(s.reply.status != http.StatusOK || strings.HasSuffix(s.reply.header.Get("X-Upstream-Signature"), "."+s.id), "an answer has its endpoint's proof")
+	switch {
+	case s.reply.status != http.StatusOK:
+	case stream && s.reply.whole:
+		claim(s.reply.body == streamOf(20), "a whole stream has every event once")
+	case stream:
+		claim(strings.HasPrefix(streamOf(20), s.reply.body), "a stream that breaks off is right so far")
+	default:
+		claim(s.reply.whole && s.reply.body == standin.PlainAnswer(s.id), "an answer is whole and its own")
+	}
+	return broken
+}
+
+// sendAll sends requests of all routes, several at a time.
+func sendAll(e *testEntry, count int) []sent {
+	routes := []string{"look", "book", "draft", "once"}
+	all := make([]sent, count)
+	var calls sync.WaitGroup
+	for i := range all {
+		all[i] = sent{route: routes[i%len(routes)], id: fmt.Sprint("r", i)}
+		calls.Go(func() { all[i].reply = e.call("/"+all[i].route+"/x", all[i].id, nil) })
+		time.Sleep(40 * time.Millisecond)
+	}
+	calls.Wait()
+	return all
+}
+
+var _ = Describe("any schedule of faults", func() {
+	It("leaves every answer whole or honestly refused", func() {
+		rapid.Check(bubble, func(t *rapid.T) {
+			names := []string{"desk-1", "desk-2", "model-1", "model-2"}
+			faults := rapid.SliceOfN(anyFaults, len(names), len(names)).Draw(t, "faults")
+			count := rapid.IntRange(4, 60).Draw(t, "requests")
+			var broken []string
+			inVirtualTime(func() { broken = playFaults(names, faults, count) })
+			if len(broken) > 0 {
+				t.Fatal(strings.Join(broken, "\n"))
+			}
+		})
+	})
+})
+
+func playFaults(names []string, faults [][]standin.Fault, count int) []string {
+	d := newDeployment()
+	defer d.close()
+	var workers []*standin.Worker
+	for i, name := range names {
+		group, events := "desk", 0
+		if strings.HasPrefix(name, "model") {
+			group, events = "models", 20
+		}
+		workers = append(workers, d.worker(name, group, "a", func(k *standin.Worker) { k.Events = events }))
+		workers[i].NextFaults(faults[i]...)
+	}
+	e := d.entry("a")
+	e.ready()
+	time.Sleep(retryWindow)
+	all := sendAll(e, count)
+	runs := map[string]int{}
+	for _, k := range workers {
+		for _, r := range k.Runs() {
+			runs[r.ID]++
+		}
+	}
+	var broken []string
+	for _, s := range all {
+		broken = append(broken, s.judge(runs[s.id])...)
+	}
+	return broken
+}
+
+// mapStep is one thing that happens to a group whose map is being changed.
+type mapStep struct {
+	kind  string
+	after time.Duration
+}
+
+func drawMapStep(t *rapid.T) mapStep {
+	return mapStep{
+		kind:  rapid.SampledFrom([]string{"shift", "shift", "holder gone", "formed anew", "store down", "store back", "quiet", "losing", "late"}).Draw(t, "kind"),
+		after: time.Duration(rapid.IntRange(100, 2500).Draw(t, "ms")) * time.Millisecond,
+	}
+}
+
+func (d mapDeployment) take(s mapStep) {
+	switch s.kind {
+	case "shift":
+		d.ranks.Shift()
+	case "holder gone":
+		if h := d.holder(); h != nil {
+			h.backing.lease.Lose("test")
+		}
+	case "formed anew":
+		d.ranks.Reform()
+		d.announceRanks()
+	case "store down":
+		d.store.SetTrouble(standin.StoreTrouble{Status: http.StatusServiceUnavailable})
+	case "store back":
+		d.store.SetTrouble(standin.StoreTrouble{})
+	case "quiet":
+		d.ranks.SetTrouble(standin.RankTrouble{})
+	case "losing":
+		d.ranks.SetTrouble(standin.RankTrouble{Lose: 0.4})
+	case "late":
+		d.ranks.SetTrouble(standin.RankTrouble{Lose: 0.1, Late: 0.3, LateBy: 3 * time.Second})
+	}
+	time.Sleep(s.after)
+}
+
+var _ = Describe("any schedule around expert maps", func() {
+	DescribeTable("gives every step one map and ends every hold", func(fenced bool) {
+		rapid.Check(bubble, func(t *rapid.T) {
+			steps := rapid.SliceOfN(rapid.Custom(drawMapStep), 3, 12).Draw(t, "steps")
+			var violations []string
+			var longest time.Duration
+			withMaps(2, 1, func(d mapDeployment) {
+				d.ranks.Fenced = fenced
+				for _, s := range steps {
+					d.take(s)
+				}
+				d.take(mapStep{kind: "quiet"})
+				d.take(mapStep{kind: "store back", after: 9 * time.Second})
+				violations, longest = d.ranks.Violations(), d.ranks.LongestHold()
+			})
+			if len(violations) > 0 || longest > 8*time.Second {
+				t.Fatalf("%v, longest hold %v", violations, longest)
+			}
+		})
+	}, Entry("where ranks refuse lower fencing tokens", true), Entry("where they do not", false))
+})
--- a/internal/process/entry/worker.go
+++ b/internal/process/entry/worker.go
@@ -53,11 +53,14 @@
 // update takes a newer announcement.
 func (w *worker) update(info roster.Endpoint) {
 	fresh := info.Revision != w.info.Revision || !w.member.Known()
+	if !w.member.Known() {
+		w.member.Up()
+	}
 	if info.Leaving && !w.info.Leaving {
 		w.directory.log.Info(events.EndpointRemoved, events.Fields{"endpoint": info.Name, "reason": "leaving", "revision": info.Revision})
 	}
 	w.info = info
-	w.member.Update(info.Slots, 0, !info.Leaving)
+	w.member.Announce(info.Slots, !info.Leaving)
 	if fresh {
 		w.warmUp(info)
 	}
--- a/internal/request/choice/member.go
+++ b/internal/request/choice/member.go
@@ -48,6 +48,13 @@
 	m.up.Store(true)
 }
 
+// Announce takes what an endpoint says of itself without a gate: its limit and
+// whether it takes work. Its load is what this entry sent to it.
+func (m *Member) Announce(limit int, open bool) {
+	m.limit.Store(int32(limit))
+	m.open.Store(open)
+}
+
 // Up notes that the endpoint can be reached again.
 func (m *Member) Up() { m.up.Store(true) }
 
--- a/internal/request/retry/retry.go
+++ b/internal/request/retry/retry.go
@@ -130,14 +130,30 @@
 	return true
 }
 
-// Free reports whether a retry after the reason costs nothing: the attempt
-// certainly put no load on an endpoint, and work must go elsewhere.
-func Free(r outcome.Reason) bool {
+// Cost is what an attempt that failed has put on the endpoints.
+type Cost int
+
+// Costs, from the least.
+const (
+	// None says that nothing reached an endpoint.
+	None Cost = iota
+	// Arrival says that the attempt reached an endpoint that it was not meant for,
+	// which turned it away: the next attempt takes a retry from the budget, but the
+	// route's attempts are not used up.
+	Arrival
+	// Run says that the attempt used up one of the route's attempts.
+	Run
+)
+
+// CostOf returns what an attempt that failed for the reason has cost.
+func CostOf(r outcome.Reason) Cost {
 	switch r {
 	case outcome.Held, outcome.Leaving, outcome.StaleView, outcome.NotReady,
 		outcome.WrongIncarnation, outcome.OldEpoch, outcome.Sealed, outcome.EndpointUnreachable,
 		outcome.NoBundle, outcome.ShuttingDown:
-		return true
+		return None
+	case outcome.EndpointReplaced:
+		return Arrival
 	}
-	return false
+	return Run
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -59,6 +59,8 @@
 	mu     sync.Mutex
 	faults []Fault
 	runs   []*Run
+	// misdirected counts requests meant for another endpoint.
+	misdirected int
 }
 
 // NextFaults sets how the next requests are treated; later ones are sound.
@@ -79,6 +81,13 @@
 	return out
 }
 
+// Misdirected returns the number of requests that were meant for another endpoint.
+func (k *Worker) Misdirected() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.misdirected
+}
+
 func (k *Worker) fault() Fault {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -93,6 +102,9 @@
 // ServeHTTP implements http.Handler.
 func (k *Worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if want := r.Header.Get("X-Expected-Instance"); want != "" && want != k.Name {
+		k.mu.Lock()
+		k.misdirected++
+		k.mu.Unlock()
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
