Take a group over at once that its holder left on hold

Ruled out: switches without a hold. A holder that stops between two orders to arm would leave ranks with different maps.

Change: entries that may hold the lease look at the rank that takes holds each 250 ms; if a group stands at one hold for half a second, they take the lease without awaiting its end. Fencing keeps the old holder out. An entry that shuts down takes no lease and leaves the following of the store to others.

A peer that left a question unanswered now is no follower for 2 s, whatever it says.

--- a/internal/connection/peer/mirrors.go
+++ b/internal/connection/peer/mirrors.go
@@ -34,6 +34,9 @@
 	perFollower = 32
 	// followerLife is how long a process counts as a follower after it said so.
 	followerLife = 2 * time.Second
+	// doubtLife is how long a peer that left a question unanswered does not count as
+	// a follower, whatever it says: that it is heard does not mean that it answers.
+	doubtLife = 2 * time.Second
 	// peerLife is how long a peer counts after it was last heard.
 	peerLife = 10 * time.Second
 	// peerLimit bounds the peers remembered.
@@ -48,6 +51,8 @@
 	heard    time.Time
 	// follows is true if the peer follows the store and reaches it.
 	follows bool
+	// doubted is when it last left a question unanswered; zero once it answered.
+	doubted time.Time
 }
 
 // Mirrors exchanges copies of followed tables with peers, so that a process
@@ -69,6 +74,9 @@
 	seeds []netip.AddrPort
 	// following is true while this process follows the store itself.
 	following bool
+	// leaving is true once the process shuts down: it follows only while nobody
+	// else does.
+	leaving bool
 	// told is the number of live peers last logged.
 	told int
 }
@@ -130,6 +138,14 @@
 	return s.following
 }
 
+// Leave leaves the store to others as soon as there are any, for this process is
+// shutting down.
+func (s *Mirrors) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
 // settle decides whether to follow the store: the first few by name do, of those
 // that reach it. One that cannot tell follows.
 func (s *Mirrors) settle() {
@@ -147,7 +163,10 @@
 	}
 	wanted := max(leastFollowers, (1+len(s.live()))/perFollower)
 	was := s.following
-	s.following = others < wanted || (was && before < wanted)
+	if s.leaving {
+		wanted = 1
+	}
+	s.following = others < wanted || (was && before < wanted && !s.leaving)
 	switch {
 	case s.following && !was:
 		s.log.Info(events.FollowingBegun, events.Fields{"followers": others})
@@ -202,6 +221,7 @@
 		s.doubt(at)
 		return
 	}
+	s.trust(at)
 	s.hear(update.GetSelf(), update.GetPeers())
 	for _, c := range update.GetCopies() {
 		s.adopt(c)
@@ -211,15 +231,30 @@
 	}
 }
 
-// doubt stops relying on a peer that did not answer until it is heard again. What
-// others heard of it before does not count.
+// doubt stops relying on a peer that did not answer for a while. What others heard
+// of it before does not count.
 func (s *Mirrors) doubt(at netip.AddrPort) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if k, ok := s.peers[at]; ok && k.follows {
+	k, ok := s.peers[at]
+	if !ok {
+		return
+	}
+	if k.follows {
+		s.log.Info(events.PeerDoubted, events.Fields{"peer": k.instance})
 		k.follows, k.heard = false, time.Now()
+	}
+	k.doubted = time.Now()
+	s.peers[at] = k
+}
+
+// trust ends the doubt about a peer, for it answered.
+func (s *Mirrors) trust(at netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if k, ok := s.peers[at]; ok {
+		k.doubted = time.Time{}
 		s.peers[at] = k
-		s.log.Info(events.PeerDoubted, events.Fields{"peer": k.instance})
 	}
 }
 
@@ -322,8 +357,11 @@
 	if err != nil || at == s.self.Address || age >= peerLife || len(s.peers) >= peerLimit {
 		return
 	}
-	if heard.After(s.peers[at].heard) {
-		s.peers[at] = known{instance: p.GetInstance(), heard: heard, follows: p.GetFollows()}
+	k := s.peers[at]
+	if heard.After(k.heard) {
+		k.instance, k.heard = p.GetInstance(), heard
+		k.follows = p.GetFollows() && time.Since(k.doubted) >= doubtLife
+		s.peers[at] = k
 	}
 }
 
--- a/internal/connection/store/lease.go
+++ b/internal/connection/store/lease.go
@@ -52,7 +52,9 @@
 	// hold.
 	wanted func() bool
 	log    *events.Log
-	done   sync.WaitGroup
+	// urge wakes the goroutine to take the lease at once.
+	urge chan struct{}
+	done sync.WaitGroup
 
 	mu sync.Mutex
 	// claim is the present one of this process, empty if it has none.
@@ -69,7 +71,7 @@
 // NewLease starts trying to hold the lease until ctx ends. Then it is given
 // back.
 func NewLease(ctx context.Context, rows Leases, name, holder string, wanted func() bool, l *events.Log) *Lease {
-	k := &Lease{rows: rows, name: name, holder: holder, wanted: wanted, log: l}
+	k := &Lease{rows: rows, name: name, holder: holder, wanted: wanted, log: l, urge: make(chan struct{}, 1)}
 	k.done.Go(func() { k.keepLoop(ctx) })
 	return k
 }
@@ -96,6 +98,19 @@
 	return k.fence*tokensPerLease + k.drawn
 }
 
+// Wanted reports whether this process tries for the lease while others hold it.
+func (k *Lease) Wanted() bool { return k.wanted() }
+
+// Take takes the lease at once, for its holder is known to have stopped in the
+// middle of its work. Fencing tokens keep the holder out if that is wrong.
+func (k *Lease) Take(reason string) {
+	select {
+	case k.urge <- struct{}{}:
+		k.log.Info(events.MapLeaseUrged, events.Fields{"reason": reason})
+	default:
+	}
+}
+
 // Lose gives up a lease that another process is known to hold.
 func (k *Lease) Lose(reason string) {
 	k.mu.Lock()
@@ -108,10 +123,12 @@
 }
 
 func (k *Lease) keepLoop(ctx context.Context) {
+	urged := false
 	for ctx.Err() == nil {
 		if _, held := k.Held(); held || k.wanted() {
-			k.turn(ctx)
+			k.turn(ctx, urged)
 		}
+		urged = false
 		wait := watchInterval
 		if _, held := k.Held(); held {
 			wait = renewInterval
@@ -119,14 +136,17 @@
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait):
+		case <-k.urge:
+			urged = true
 		}
 	}
 	k.giveBack(context.WithoutCancel(ctx))
 }
 
 // turn renews the lease, or looks whether it can be taken. A holder that cannot
-// reach the store goes on: fencing tokens keep it out once another took over.
-func (k *Lease) turn(ctx context.Context) {
+// reach the store goes on: fencing tokens keep it out once another took over. If
+// urged, it does not wait for the lease to expire.
+func (k *Lease) turn(ctx context.Context, urged bool) {
 	if _, held := k.Held(); held && k.write(ctx) {
 		return
 	}
@@ -139,7 +159,7 @@
 		return
 	}
 	// An earlier process of this instance has ended, so its lease is free.
-	if free := !ok || now.Holder == "" || now.Holder == k.holder; free || k.expired() {
+	if free := !ok || now.Holder == "" || now.Holder == k.holder; free || urged || k.expired() {
 		k.write(ctx)
 	}
 }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -60,6 +60,7 @@
 	MapLeaseLost        Event = 603
 	MapRepaired         Event = 604
 	MapSampleMoved      Event = 605
+	MapLeaseUrged       Event = 606
 )
 
 var texts = map[Event]string{
@@ -108,6 +109,7 @@
 	MapLeaseLost:        "expert map lease lost",
 	MapRepaired:         "unfinished expert map switch undone",
 	MapSampleMoved:      "another rank is sampled",
+	MapLeaseUrged:       "expert map lease is taken from its holder",
 }
 
 // Fields are the typed values that accompany an event.
--- a/internal/process/entry/backing.go
+++ b/internal/process/entry/backing.go
@@ -26,6 +26,9 @@
 	shutdown time.Duration
 	// reload takes settings that changed; nil if the process must restart.
 	reload func(*settings.Settings)
+	// leave hands duties for others to them, as the process begins to shut down;
+	// nil without such duties.
+	leave func()
 	// lease is that of expert maps; nil without one.
 	lease *store.Lease
 	// close ends the duties.
--- a/internal/process/entry/deployed.go
+++ b/internal/process/entry/deployed.go
@@ -80,6 +80,7 @@
 		lameDuck: deployedLameDuck,
 		shutdown: s.Deployment.Grace() - deployedLameDuck - exitMargin,
 		reload:   limitMemory,
+		leave:    peers.mirrors.Leave,
 		lease:    lease,
 		close: func() {
 			follower.Wait()
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -136,6 +136,9 @@
 	log := e.backing.parts.Log
 	log.Info(events.ProcessStopping, nil)
 	e.leaving.Store(true)
+	if e.backing.leave != nil {
+		e.backing.leave()
+	}
 	time.Sleep(e.backing.lameDuck)
 	bounded, cancel := context.WithTimeout(context.Background(), e.backing.shutdown)
 	defer cancel()
--- a/internal/process/entry/experts.go
+++ b/internal/process/entry/experts.go
@@ -63,6 +63,7 @@
 func newExperts(ctx context.Context, d *directory, k *store.Lease, l *events.Log) *experts {
 	x := &experts{directory: d, lease: k, log: l, known: map[string]estimate{}, epochs: map[string]tenure{}}
 	x.done.Go(func() { x.loop(ctx) })
+	x.done.Go(func() { x.watchLoop(ctx) })
 	return x
 }
 
--- a/internal/process/entry/intent_test.go
+++ b/internal/process/entry/intent_test.go
@@ -115,6 +115,33 @@
 		})
 	})
 
+	It("reaches entries all the while that their followers hear them and do not answer", func() {
+		within(func() {
+			all := []*testEntry{e}
+			for _, domain := range []string{"b", "c", "a", "b"} {
+				all = append(all, d.entry(domain))
+			}
+			time.Sleep(5 * time.Second)
+			for i := range 3 {
+				d.network.Freeze(entryPlace(i).String())
+			}
+			for turn := range 8 {
+				change, want := withoutBooking, http.StatusNotFound
+				if turn%2 == 1 {
+					change, want = nil, http.StatusOK
+				}
+				d.configure(change)
+				time.Sleep(1900 * time.Millisecond)
+				for _, other := range all[3:] {
+					Expect(other.call("/book/x", "r", nil).status).To(Equal(want))
+				}
+			}
+			for i := range 3 {
+				d.network.Thaw(entryPlace(i).String())
+			}
+		})
+	})
+
 	It("reaches entries whose followers of the store all fall silent at once", func() {
 		within(func() {
 			all := []*testEntry{e}
--- a/internal/process/entry/maps_test.go
+++ b/internal/process/entry/maps_test.go
@@ -127,6 +127,32 @@
 		})
 	})
 
+	It("are not taken over by an entry that is shutting down", func() {
+		withMaps(3, 1, func(d mapDeployment) {
+			time.Sleep(2 * time.Second)
+			first := d.holder()
+			var leaving, staying *testEntry
+			for _, e := range d.entries {
+				switch {
+				case e == first:
+				case leaving == nil:
+					leaving = e
+				default:
+					staying = e
+				}
+			}
+			leaving.backing.leave()
+			time.Sleep(time.Second)
+			first.stop()
+			for range 50 {
+				time.Sleep(100 * time.Millisecond)
+				_, held := leaving.backing.lease.Held()
+				Expect(held).To(BeFalse())
+			}
+			Expect(d.holder()).To(Equal(staying))
+		})
+	})
+
 	DescribeTable("never differ in a step, whatever becomes of orders", func(t standin.RankTrouble) {
 		for seed := range uint64(6) {
 			withMaps(2, seed, func(d mapDeployment) {
@@ -181,6 +207,21 @@
 		})
 	})
 
+	It("are taken over soon from a holder that stopped with the group on hold", func() {
+		withMaps(2, 1, func(d mapDeployment) {
+			time.Sleep(2 * time.Second)
+			d.ranks.Fenced = false
+			h := d.holder()
+			h.backing.lease.Lose("test")
+			h.stop()
+			time.Sleep(200 * time.Millisecond)
+			d.order(0, map[string]any{"operation": "reserve", "step": d.ranks.Step() + 2})
+			time.Sleep(4 * time.Second)
+			Expect(d.ranks.LongestHold()).To(And(BeNumerically(">", 0), BeNumerically("<", 1800*time.Millisecond)))
+			d.expectOneMap()
+		})
+	})
+
 	It("refuse what an earlier holder ordered and arrives late", func() {
 		withMaps(0, 1, func(d mapDeployment) {
 			d.entry("a").ready()
