Let the priority of a client account go before the route's

Cause: an operators' configuration may give client accounts a priority, which goes before that of routes. It was not read. Found by reading the examples of messages again.

Change: the account's priority in the bundle, checked like a route's, in both ways to an endpoint. A spec that failed first. Another spec holds what a group that broke answers, which had none.

--- a/internal/connection/caller/gated.go
+++ b/internal/connection/caller/gated.go
@@ -20,7 +20,7 @@
 		Weight:        q.account.Weight,
 		Idempotent:    q.route.Idempotent,
 		KeepAnswer:    q.key != "",
-		Priority:      int32(q.route.Priority),
+		Priority:      int32(q.priority()),
 		Remaining:     durationpb.New(q.remaining()),
 		BundleVersion: q.version,
 		Incarnation:   a.remote.Incarnation,
--- a/internal/connection/caller/request.go
+++ b/internal/connection/caller/request.go
@@ -168,7 +168,7 @@
 // urgency orders the request among those that wait at an endpoint, 0 first.
 // Requests that are late already make room for those that can still be on time.
 func (q *request) urgency(continued bool) int {
-	u := leastUrgent - q.route.Priority
+	u := leastUrgent - q.priority()
 	late := q.route.Objective > 0 && q.age+time.Since(q.started) > q.route.Objective
 	switch {
 	case continued:
@@ -179,4 +179,12 @@
 	return min(u, leastUrgent)
 }
 
+// priority is that of the client account, if it has one, else the route's.
+func (q *request) priority() int {
+	if q.account.Priority != nil {
+		return *q.account.Priority
+	}
+	return q.route.Priority
+}
+
 func (q *request) remaining() time.Duration { return time.Until(q.deadline) }
--- /dev/null
+++ b/internal/process/entry/groups_test.go
@@ -0,0 +1,33 @@
+package entry
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("requests to a group that broke", func() {
+	// broken runs a body once an entry knows that the group is broken.
+	broken := func(body func(d mapDeployment, e *testEntry)) {
+		withMaps(1, 1, func(d mapDeployment) {
+			time.Sleep(retryWindow)
+			d.ranks.SetBroken(true)
+			e := d.entries[0]
+			e.call("/draft/x", "finds out", nil)
+			time.Sleep(300 * time.Millisecond)
+			body(d, e)
+		})
+	}
+
+	It("are refused at once and told when to come back", func() {
+		broken(func(_ mapDeployment, e *testEntry) {
+			for range 20 {
+				r := e.call("/draft/x", "s1", nil)
+				expectNotRun(r)
+				Expect(r.took).To(BeNumerically("<", 100*time.Millisecond))
+				Expect(r.retryAfter).To(And(BeNumerically(">=", 1.9), BeNumerically("<", 3.3)), "about when the group can be back")
+			}
+		})
+	})
+})
--- a/internal/process/entry/requests_test.go
+++ b/internal/process/entry/requests_test.go
@@ -167,6 +167,26 @@
 		})
 	})
 
+	It("are as urgent as their account, if it has a priority, else as their route", func() {
+		within(func() {
+			urgency := func(id string) string {
+				e.call("/look/x", id, nil)
+				for _, run := range append(one.Runs(), two.Runs()...) {
+					if run.ID == id {
+						return run.Header.Get("X-Request-Priority")
+					}
+				}
+				return ""
+			}
+			Expect(urgency("r1")).To(Equal("1"))
+			d.configure(func(c map[string]any) {
+				c["tenants"] = []any{map[string]any{"name": "homeowners", "api_keys": []string{callerKey}, "priority": 3}}
+			})
+			time.Sleep(noticeTime)
+			Expect(urgency("r2")).To(Equal("3"))
+		})
+	})
+
 	DescribeTable("that cannot be served are told why", func(path, key, deadline, body string, status int) {
 		within(func() {
 			r := e.call(path, "r1", func(r *http.Request) {
--- a/internal/standin/rankset.go
+++ b/internal/standin/rankset.go
@@ -44,6 +44,8 @@
 	// stalled is how long the group has waited at holds in all, longest in one.
 	held, longestHold time.Duration
 	popular           int
+	// broken is true while the group cannot run.
+	broken bool
 	// idle are ranks whose requests choose nothing, for they have none.
 	idle map[int]bool
 }
@@ -113,6 +115,23 @@
 	s.popular = (s.popular + 1 + s.chance.IntN(s.Experts-1)) % s.Experts
 }
 
+// SetBroken breaks the group: requests are refused without being run, and reports
+// say so. Once it is mended it is in a new epoch.
+func (s *RankSet) SetBroken(broken bool) {
+	s.mu.Lock()
+	s.broken = broken
+	s.mu.Unlock()
+	if !broken {
+		s.Reform()
+	}
+}
+
+func (s *RankSet) isBroken() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.broken
+}
+
 // Reform breaks the group and forms it in a new epoch.
 func (s *RankSet) Reform() {
 	s.mu.Lock()
@@ -222,7 +241,14 @@
 	mux.HandleFunc("GET /-/report", func(w http.ResponseWriter, _ *http.Request) { s.report(w, rank) })
 	mux.HandleFunc("GET /-/picked", func(w http.ResponseWriter, r *http.Request) { s.picked(w, rank, r.URL.Query().Has("lists")) })
 	mux.HandleFunc("POST /-/order", func(w http.ResponseWriter, r *http.Request) { s.order(w, r, rank) })
-	mux.Handle("/", next)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		if s.isBroken() {
+			w.Header().Set("X-Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 	return mux
 }
 
@@ -234,8 +260,12 @@
 	if r.prepared != nil {
 		prepared = &r.prepared.version
 	}
+	state := "open"
+	if s.broken {
+		state = "broken"
+	}
 	_ = json.NewEncoder(w).Encode(map[string]any{
-		"group": map[string]any{"name": s.Name, "epoch": s.epoch, "rank": rank, "state": "open"},
+		"group": map[string]any{"name": s.Name, "epoch": s.epoch, "rank": rank, "state": state},
 		"step":  s.step, "expert_map": r.active.version, "prepared": prepared, "armed": r.armed, "held": r.held, "pace": 1,
 	})
 }
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -150,6 +150,9 @@
 	TokenHashes []string `toml:"tokenHashes"`
 	// Weight is the account's share of a contended endpoint; at least 1.
 	Weight uint32 `toml:"weight"`
+	// Priority replaces that of the routes for the account's requests; 0 to 9, or
+	// nil to keep it.
+	Priority *int `toml:"priority"`
 }
 
 // MaxBodyLimit is the largest request body that a route may allow, in bytes.
--- a/pkg/bundle/check.go
+++ b/pkg/bundle/check.go
@@ -125,6 +125,7 @@
 		table := fmt.Sprintf("clientAccounts[%d]", i)
 		c.checkName(seen, table, a.Name)
 		c.require(a.Weight >= 1, table, "weight", "must be at least 1")
+		c.require(a.Priority == nil || (*a.Priority >= 0 && *a.Priority <= maxPriority), table, "priority", "must be 0 to %d", maxPriority)
 		c.require(len(a.TokenHashes) > 0, table, "tokenHashes", "at least one is needed")
 		for _, h := range a.TokenHashes {
 			_, err := hex.DecodeString(h)
