Draw a play as a page of plots

Change: `make report` reads a play's report and log and writes one HTML page with three plots (gonum/plot, SVG inside the page).

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run demo demo-platform bench capacity falsify proto property
+.PHONY: report soak soak-many build test lint run demo demo-platform bench capacity falsify proto property
 
 build:
 	go build -o bin/cicadareel .
@@ -29,6 +29,19 @@
 	mkdir -p out
 	bin/measure capacity | tee out/capacity.txt
 
+# One seed, or those of internal/soak/testdata without SEED.
+soak:
+	go test -count=1 -v ./internal/soak -soak.seed=$(or $(SEED),0) -soak.logs=$(CURDIR)/out/soak
+
+# Fifty fresh seeds, a few at a time.
+soak-many:
+	go test -count=1 -timeout 60m -parallel 5 ./internal/soak -soak.many=$(or $(COUNT),50) -soak.logs=$(CURDIR)/out/soak
+
+# Draws a play: REPORT and LOG are files of the bench.
+report:
+	mkdir -p out
+	go run ./cmd/measure report --report $(REPORT) --log $(LOG) --to out/report.html
+
 falsify:
 	./scripts/falsify.sh
 
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -16,7 +16,7 @@
 	root := &cli.Command{
 		Name:     "measure",
 		Usage:    "measurements for the capacity page",
-		Commands: []*cli.Command{capacityCommand(), processCommand(), expertMapsCommand(), pathCommand()},
+		Commands: []*cli.Command{capacityCommand(), processCommand(), expertMapsCommand(), pathCommand(), reportCommand()},
 	}
 	if err := root.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "measure:", err)
--- /dev/null
+++ b/cmd/measure/report.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/cicadareel/cicadareel/internal/report"
+)
+
+func reportCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "report",
+		Usage: "draw a play of the users' bench as one HTML page",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "report", Usage: "`FILE` written by the bench's --report", Required: true},
+			&cli.StringFlag{Name: "log", Usage: "`FILE` with the output of the same play with --log all", Required: true},
+			&cli.StringFlag{Name: "title", Value: "a play"},
+			&cli.StringFlag{Name: "to", Usage: "`FILE` to write", Required: true},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			play, err := report.ReadPlay(c.String("report"), c.String("log"))
+			if err != nil {
+				return err
+			}
+			out, err := os.Create(c.String("to"))
+			if err != nil {
+				return err
+			}
+			if err := play.Write(out, c.String("title")); err != nil {
+				_ = out.Close()
+				return err
+			}
+			return out.Close()
+		},
+	}
+}
