Share what samples of experts show between the groups of an endpoint group

Three lock-step groups serve the same requests, and each was planned from one rank of 24 of its own; what a sample of one showed helped no other.

Ruled out: copying (0.5 s a change in each group), orders lost, the lease (held by one entry throughout).

Change: one estimate for an endpoint group takes the samples of all its lock-step groups. It outlives their epochs, which the memory of estimates did before.

Sites with one group are not touched by it.

--- a/internal/process/entry/experts.go
+++ b/internal/process/entry/experts.go
@@ -39,9 +39,8 @@
 	done      sync.WaitGroup
 
 	mu sync.Mutex
-	// known is the last estimate of each group's popularity. It outlives epochs:
-	// what callers ask for does not change because ranks form anew.
-	known map[string]estimate
+	// demands are what callers ask for, by endpoint group.
+	demands map[string]*demand
 	// epochs are the groups' epochs when their care last began.
 	epochs map[string]tenure
 }
@@ -49,19 +48,8 @@
 // tenure is an epoch of a group in one holder's time.
 type tenure struct{ epoch, fence uint64 }
 
-// estimate is a popularity by layer at a time.
-type estimate struct {
-	popularity [][]float64
-	// evidence is the number of choices that it rests on.
-	evidence float64
-	at       time.Time
-}
-
-// estimateLife is how long an estimate is worth planning from.
-const estimateLife = 10 * time.Second
-
 func newExperts(ctx context.Context, d *directory, k *store.Lease, l *events.Log) *experts {
-	x := &experts{directory: d, lease: k, log: l, known: map[string]estimate{}, epochs: map[string]tenure{}}
+	x := &experts{directory: d, lease: k, log: l, demands: map[string]*demand{}, epochs: map[string]tenure{}}
 	x.done.Go(func() { x.loop(ctx) })
 	x.done.Go(func() { x.watchLoop(ctx) })
 	return x
@@ -119,8 +107,8 @@
 
 // care samples, plans and switches one group in one epoch until ctx ends.
 func (x *experts) care(ctx context.Context, g rankSet) {
-	c := &care{experts: x, group: g}
-	x.recall(c)
+	c := &care{experts: x, group: g, demand: x.demandOf(g)}
+	c.popularity = c.demand.recent()
 	c.switcher = expertswitch.NewSwitcher(g.name, g.ranks, g.epoch, g.shape.ReportAge, x.lease.NextToken)
 	// A group that formed while this process held the lease has the initial map
 	// and no orders of others.
@@ -174,18 +162,15 @@
 	return ok && last.fence == fence && last.epoch < g.epoch
 }
 
-// recall starts from a recent estimate of the group's popularity, if there is one.
-func (x *experts) recall(c *care) {
+// demandOf returns what callers ask of the endpoint group that a lock-step group
+// belongs to.
+func (x *experts) demandOf(g rankSet) *demand {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	e, ok := x.known[c.group.name]
-	if ok && time.Since(e.at) <= estimateLife && len(e.popularity) == c.group.shape.Layers {
-		c.popularity, c.evidence, c.weighed = e.popularity, e.evidence, e.at
+	d := x.demands[g.service]
+	if d == nil || !d.fits(g.shape) {
+		d = &demand{layers: g.shape.Layers, perLayer: g.shape.PerLayer}
+		x.demands[g.service] = d
 	}
-}
-
-func (x *experts) remember(g rankSet, e estimate) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.known[g.name] = e
+	return d
 }
--- a/internal/process/entry/mapcare.go
+++ b/internal/process/entry/mapcare.go
@@ -31,18 +31,15 @@
 	experts  *experts
 	group    rankSet
 	switcher *expertswitch.Switcher
+	// demand is what callers ask of all groups like this one.
+	demand *demand
 	// layers is the layout in use.
 	layers []expertplan.Holdings
 	// sampled is the rank whose requests stand for all.
 	sampled int
-	// chosen are the counts of its last sample, popularity the estimate by layer.
+	// chosen are the counts of its last sample, popularity the last estimate by layer.
 	chosen     []float64
 	popularity [][]float64
-	// evidence is the number of choices that the estimate rests on, less for older
-	// ones.
-	evidence float64
-	// weighed is when the evidence was last added to.
-	weighed time.Time
 	// slowness is that of each rank at the last look, made at looked.
 	slowness []float64
 	looked   time.Time
@@ -121,7 +118,6 @@
 	if err := c.sample(ctx); err != nil || c.popularity == nil || !c.switcher.Settled() {
 		return err
 	}
-	c.experts.remember(c.group, estimate{popularity: c.popularity, evidence: c.evidence, at: c.weighed})
 	return c.improve(ctx)
 }
 
--- a/internal/process/entry/mapsample.go
+++ b/internal/process/entry/mapsample.go
@@ -2,17 +2,11 @@
 
 import (
 	"context"
-	"math"
-	"time"
 
 	"github.com/cicadareel/cicadareel/internal/events"
 	"github.com/cicadareel/cicadareel/internal/version/expertswitch"
 )
 
-// evidenceKept is the part of the evidence of earlier samples that is kept after
-// countInterval: what callers ask for can change within seconds.
-const evidenceKept = 0.4
-
 // sample updates the popularity from the counts of one rank: its requests are
 // a fair sample of the group's.
 func (c *care) sample(ctx context.Context) error {
@@ -41,27 +35,10 @@
 			return nil
 		}
 	}
-	c.weigh(fresh, sum(c.chosen)-sum(previous))
+	c.popularity = c.demand.weigh(fresh, sum(c.chosen)-sum(previous))
 	return nil
 }
 
-// weigh adds a sample to the estimate, by the number of choices that each rests
-// on: a rank that had few requests says little about those of all.
-func (c *care) weigh(fresh [][]float64, choices float64) {
-	if c.popularity == nil {
-		c.popularity, c.evidence, c.weighed = fresh, choices, time.Now()
-		return
-	}
-	age := time.Since(c.weighed).Seconds() / countInterval.Seconds()
-	c.evidence = c.evidence*math.Pow(evidenceKept, age) + choices
-	c.weighed = time.Now()
-	for i := range fresh {
-		for e := range fresh[i] {
-			c.popularity[i][e] += choices / c.evidence * (fresh[i][e] - c.popularity[i][e])
-		}
-	}
-}
-
 func sum(values []float64) float64 {
 	total := 0.0
 	for _, v := range values {
--- a/internal/process/entry/rankset.go
+++ b/internal/process/entry/rankset.go
@@ -10,12 +10,14 @@
 
 // rankSet is a lock-step group with its ranks in order.
 type rankSet struct {
-	name  string
-	epoch uint64
-	ranks []expertswitch.Rank
-	shape bundle.Experts
-	size  int
-	open  bool
+	name string
+	// service names the endpoint group of its ranks.
+	service string
+	epoch   uint64
+	ranks   []expertswitch.Rank
+	shape   bundle.Experts
+	size    int
+	open    bool
 }
 
 func (g rankSet) complete() bool { return g.open && len(g.ranks) == g.size }
@@ -59,7 +61,7 @@
 
 // newRankSet takes the ranks of the latest epoch.
 func newRankSet(name string, workers []*worker, shape bundle.Experts) rankSet {
-	g := rankSet{name: name, shape: shape, open: true}
+	g := rankSet{name: name, service: workers[0].info.Group, shape: shape, open: true}
 	for _, w := range workers {
 		g.epoch = max(g.epoch, w.info.Place.Epoch)
 	}
--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -95,6 +95,7 @@
 without "held domains get no work (soak)" $entry/directory.go 's/n.member.SetHeld\(held\[.*/n.member.SetHeld(false)/' ./internal/soak 1
 without "a busy endpoint must say that it did not run (soak)" platform/workers.go 's/case promises\(status\)/case false/' ./internal/soak 4
 without "events are checked by id (soak)" internal/request/eventstream/splicer.go 's/if id != s.last\+1 \{/if false {/' ./internal/soak 3
+without "samples weigh by their choices" $entry/demand.go 's/choices \/ d.evidence/0.5/' ./$entry "ask of experts"
 without "a sample that stands still is left" $entry/mapsample.go 's/c.sampleNext\("no requests"\)//' ./$entry "get no work"
 without "tokens are raised at a takeover" $switch/recover.go 's/err := s.raise\(ctx\); err/err := error(nil); err/' ./$entry "expert maps"
 without "groups are held while ranks are armed" $switch/switcher.go 's/err = s.give\(ctx, 0, Hold\{Step: step\}\)/err = nil/' ./$entry "expert maps"
