Look at all groups at a time for one that stands at a hold

The look asked one group after the other; with 125 groups and a few silent ranks a round would take many seconds.

Change: all groups are asked at a time, within one time limit.

--- a/internal/process/entry/mapwatch.go
+++ b/internal/process/entry/mapwatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cicadareel/cicadareel/internal/version/expertswitch"
@@ -40,24 +41,35 @@
 			clear(stood)
 			continue
 		}
-		for _, g := range x.directory.rankGroups() {
-			if g.complete() && stands(stood, g, look(ctx, g)) {
-				delete(stood, g.name)
-				x.lease.Take("group " + g.name + " stands at a hold")
+		groups := x.directory.rankGroups()
+		for i, report := range look(ctx, groups) {
+			if stands(stood, groups[i], report) {
+				delete(stood, groups[i].name)
+				x.lease.Take("group " + groups[i].name + " stands at a hold")
 			}
 		}
 	}
 }
 
-// look asks the rank that takes the holds; nil if it does not answer.
-func look(ctx context.Context, g rankSet) *expertswitch.Report {
+// look asks the rank of each group that takes the holds; there is no report of one
+// that does not answer, or of a group that is not complete.
+func look(ctx context.Context, groups []rankSet) []*expertswitch.Report {
 	bounded, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	report, err := g.ranks[0].Report(bounded)
-	if err != nil {
-		return nil
+	reports := make([]*expertswitch.Report, len(groups))
+	var calls sync.WaitGroup
+	for i, g := range groups {
+		if !g.complete() {
+			continue
+		}
+		calls.Go(func() {
+			if report, err := g.ranks[0].Report(bounded); err == nil {
+				reports[i] = &report
+			}
+		})
 	}
-	return &report
+	calls.Wait()
+	return reports
 }
 
 // stands notes a report of a group and returns whether the group has stood at one
