Let the soak's end of a pause not wait for a process that it must wake

The end of a restart waited for its process to exit while it kept other ends out; the process was stopped by a pause, whose end was one of those. Seen in a dump of the test and in the process's state.

Ruled out: the product. Two entries went on, the third was stopped by SIGSTOP.

Change: ends that wait for a process run beside the others, and a process that does not end within its grace and a margin is a finding.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -24,6 +24,9 @@
 	begin func() (end func())
 	// length is how long it lasts.
 	length time.Duration
+	// waits is true if its end waits for a process, which another fault's end may
+	// have to wake first.
+	waits bool
 }
 
 // chaos draws faults from a seed.
@@ -47,7 +50,7 @@
 // restart ends a process in one of two ways and starts another at its place.
 func (c *chaos) restart() fault {
 	e, kill := c.entry(), c.chance.IntN(2) == 0
-	return fault{name: fmt.Sprintf("restart %s, kill %v", e.name, kill), begin: func() func() {
+	return fault{name: fmt.Sprintf("restart %s, kill %v", e.name, kill), waits: true, begin: func() func() {
 		child, number := e.now()
 		e.expectEnd()
 		if kill {
@@ -56,7 +59,12 @@
 			_ = child.Signal(syscall.SIGTERM)
 		}
 		return func() {
-			<-child.Exited()
+			select {
+			case <-child.Exited():
+			case <-time.After(grace + patience):
+				c.d.t.Errorf("%s does not end", e.name)
+				return
+			}
 			if _, now := e.now(); now == number {
 				c.d.startEntry(e)
 			}
@@ -236,6 +244,10 @@
 		turn.Unlock()
 		running.Go(func() {
 			time.Sleep(f.length)
+			if f.waits {
+				stop()
+				return
+			}
 			turn.Lock()
 			defer turn.Unlock()
 			stop()
