Leave expert maps as they are where ranks accept lower fencing tokens

Cause: without fencing at the ranks, a command of an earlier lease holder that got no response may take effect after its successor has acted. Ruled out: disarming under a hold (a late arm follows), completing the switch (a late disarm of another successor follows), waiting out late commands (no limit is stated, and the group stays on hold meanwhile). docs/DESIGN.md has the argument. Change: the setting deployment.fencedCommands, filled in from the deployment's bound. Without it an entry is no candidate for the lease and sends no commands. The random schedules now run with it set as the ranks are, in both variants, and no variant is passed over; a new spec checks that the map stays. Every deployment at hand sets the bound, so nothing changes there.

--- a/internal/process/entry/deployment_test.go
+++ b/internal/process/entry/deployment_test.go
@@ -54,6 +54,8 @@
 	entries []*testEntry
 	stops   []func()
 	version uint64
+	// unfenced is true if ranks accept lower fencing tokens.
+	unfenced bool
 }
 
 // testEntry is one entry.
@@ -163,7 +165,7 @@
 	s.TLS.Insecure = true
 	s.Deployment = settings.Deployment{
 		StoreAddress: netip.MustParseAddrPort(storeAddress), RetryRatio: 0.2, RetrySlack: 88, RetryWindowMs: retryWindow.Milliseconds(),
-		ColdFactor: 1.5, ColdTolerance: 5, GraceMs: 8000, StallMs: 1500,
+		ColdFactor: 1.5, ColdTolerance: 5, GraceMs: 8000, StallMs: 1500, FencedCommands: !d.unfenced,
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	n := network{
--- a/internal/process/entry/maps_test.go
+++ b/internal/process/entry/maps_test.go
@@ -28,8 +28,14 @@
 
 // withMaps runs a body on a deployment with a group and a number of entries.
 func withMaps(entries int, seed uint64, body func(d mapDeployment)) {
+	withMapsFenced(true, entries, seed, body)
+}
+
+// withMapsFenced is like withMaps, for ranks that refuse lower fencing tokens or do not.
+func withMapsFenced(fenced bool, entries int, seed uint64, body func(d mapDeployment)) {
 	withFakeClock(func() {
 		d := mapDeployment{deployment: newDeployment(), ranks: standin.NewRankGroup("g", mapRanks, mapLayers, mapExperts, mapSlots, seed)}
+		d.unfenced, d.ranks.Fenced = !fenced, fenced
 		done := make(chan struct{})
 		defer d.close()
 		defer close(done)
@@ -264,6 +270,14 @@
 		}
 	})
 
+	It("stay as they are where ranks do not refuse lower fencing tokens", func() {
+		withMapsFenced(false, 2, 1, func(d mapDeployment) {
+			time.Sleep(5 * time.Second)
+			Expect(d.ranks.MapVersion()).To(BeZero())
+			Expect(d.leaseHolder()).To(BeNil())
+		})
+	})
+
 	It("start from the initial map when the group forms again", func() {
 		withMaps(2, 3, func(d mapDeployment) {
 			time.Sleep(2 * time.Second)
--- a/internal/process/entry/schedules_test.go
+++ b/internal/process/entry/schedules_test.go
@@ -4,7 +4,6 @@
 	"flag"
 	"fmt"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"time"
@@ -161,15 +160,11 @@
 
 var _ = Describe("any schedule around expert maps", func() {
 	DescribeTable("gives every step one map and ends every hold", func(fenced bool) {
-		if !fenced && os.Getenv("KNOWN_RED") == "pass over" {
-			Skip("listed in KNOWN-RED.txt")
-		}
 		rapid.Check(suite, func(t *rapid.T) {
 			mapEvents := rapid.SliceOfN(rapid.Custom(drawMapEvent), 6, 16).Draw(t, "steps")
 			var violations []string
 			var longest time.Duration
-			withMaps(2, 1, func(d mapDeployment) {
-				d.ranks.Fenced = fenced
+			withMapsFenced(fenced, 2, 1, func(d mapDeployment) {
 				for _, e := range mapEvents {
 					d.apply(e)
 				}
--- a/internal/process/entry/storeenvironment.go
+++ b/internal/process/entry/storeenvironment.go
@@ -63,7 +63,8 @@
 	follower := store.NewFollower(ctx, client, tableMirror, peers.gossip.Following, log)
 	fleet := newDirectFleet(ctx, s, n, tableMirror, tracker, log)
 	fleet.loops.Go(func() { limitShareLoop(ctx, s, peers.gossip, fleet, budgets) })
-	lease := store.NewLease(ctx, client, expertsLease, s.Instance, peers.gossip.Following, log)
+	mayChangeMaps := func() bool { return s.Deployment.FencedCommands && peers.gossip.Following() }
+	lease := store.NewLease(ctx, client, expertsLease, s.Instance, mayChangeMaps, log)
 	maps := newMapController(ctx, fleet, lease, log)
 	m.RegisterGauge("cicadareel_log_lines_dropped", "Log lines not written.", log.Dropped)
 	m.RegisterGauge("cicadareel_bundle_version", "Version of the bundle in force.", fleet.bundleVersion)
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -90,6 +90,9 @@
 	// endpoint: a multiple of its configured rate plus a fixed number.
 	ColdFactor    float64 `toml:"coldFactor"`
 	ColdTolerance float64 `toml:"coldTolerance"`
+	// FencedCommands is true if ranks refuse commands with a lower fencing token than
+	// they have seen. Without that, expert maps are not changed.
+	FencedCommands bool `toml:"fencedCommands"`
 	// GraceMs is the time from the stop signal to the forced kill.
 	GraceMs int64 `toml:"graceMs"`
 	// StallMs is how long requests stall on an endpoint that is gone.
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -168,6 +168,7 @@
 retryWindowMs = 10000
 coldFactor = 1.5
 coldTolerance = 5
+fencedCommands = true
 graceMs = %d
 stallMs = 1500
 [tls]
--- a/scripts/bench-platform.sh
+++ b/scripts/bench-platform.sh
@@ -40,6 +40,7 @@
 retryWindowMs = 10000
 coldFactor = 1.5
 coldTolerance = 5
+fencedCommands = true
 graceMs = 8000
 stallMs = 1500
 [tls]
