Send expert maps at the rate that the holder's link carries

Cause: a Prepare carries the whole map (12 layers x 64 ranks, 17 KB) to each of 64 ranks, for three groups at once, with 80 ms for each attempt. Change: Pacer limits the rate of maps to three quarters of the link (deployment.linkMbps, from the machine's limits) and doubles the time allowed for a map, at most once while it passes, down again as maps arrive. Other commands keep 80 ms. The body is encoded once for all ranks. Errors of many ranks are joined by type with a count and one example.

--- a/internal/process/entry/groupsnapshot.go
+++ b/internal/process/entry/groupsnapshot.go
@@ -68,13 +68,14 @@
 		g.epoch = max(g.epoch, e.info.Membership.Epoch)
 	}
 	slices.SortFunc(endpoints, func(a, b *directEndpoint) int { return a.info.Membership.Rank - b.info.Membership.Rank })
+	bodies := platform.NewCommandBodies()
 	for _, e := range endpoints {
 		if e.info.Membership.Epoch != g.epoch {
 			continue
 		}
 		g.size = e.info.Membership.Size
 		g.ready = g.ready && e.info.Membership.Ready
-		g.ranks = append(g.ranks, platform.NewRankClient(e.info.Name, e.direct.Client()))
+		g.ranks = append(g.ranks, platform.NewRankClient(e.info.Name, e.direct.Client(), bodies))
 	}
 	return g
 }
--- a/internal/process/entry/mapcontroller.go
+++ b/internal/process/entry/mapcontroller.go
@@ -35,6 +35,7 @@
 type mapController struct {
 	fleet *directFleet
 	lease *store.Lease
+	pacer *expertswitch.Pacer
 	log   *events.Log
 	loops sync.WaitGroup
 
@@ -49,8 +50,8 @@
 // the group was controlled.
 type epochUnderLease struct{ epoch, acquisition uint64 }
 
-func newMapController(ctx context.Context, f *directFleet, lease *store.Lease, l *events.Log) *mapController {
-	m := &mapController{fleet: f, lease: lease, log: l, estimates: map[string]*popularityEstimate{}, lastEpochs: map[string]epochUnderLease{}}
+func newMapController(ctx context.Context, f *directFleet, lease *store.Lease, p *expertswitch.Pacer, l *events.Log) *mapController {
+	m := &mapController{fleet: f, lease: lease, pacer: p, log: l, estimates: map[string]*popularityEstimate{}, lastEpochs: map[string]epochUnderLease{}}
 	m.loops.Go(func() { m.loop(ctx) })
 	m.loops.Go(func() { m.holdWatchLoop(ctx) })
 	return m
@@ -111,7 +112,7 @@
 func (m *mapController) controlGroup(ctx context.Context, g groupSnapshot) {
 	c := &groupController{parent: m, group: g, estimate: m.estimateFor(g)}
 	c.popularity = c.estimate.recent()
-	c.switcher = expertswitch.NewSwitcher(g.name, g.ranks, g.epoch, g.shape.ReportLag, m.lease.NextFencingToken)
+	c.switcher = expertswitch.NewSwitcher(g.name, g.ranks, g.epoch, g.shape.ReportLag, m.pacer, m.lease.NextFencingToken)
 	// A group that formed while this process held the lease has the initial map,
 	// and no other process has sent it commands.
 	recovered := m.formedUnderLease(g)
--- a/internal/process/entry/storeenvironment.go
+++ b/internal/process/entry/storeenvironment.go
@@ -15,6 +15,7 @@
 	"github.com/cicadareel/cicadareel/internal/process/settings"
 	"github.com/cicadareel/cicadareel/internal/request/retry"
 	"github.com/cicadareel/cicadareel/internal/tcp"
+	"github.com/cicadareel/cicadareel/internal/version/expertswitch"
 	"github.com/cicadareel/cicadareel/internal/version/mirror"
 	"github.com/cicadareel/cicadareel/internal/version/slowness"
 	"github.com/cicadareel/cicadareel/platform"
@@ -65,7 +66,7 @@
 	fleet.loops.Go(func() { limitShareLoop(ctx, s, peers.gossip, fleet, budgets) })
 	mayChangeMaps := func() bool { return s.Deployment.FencedCommands && peers.gossip.Following() }
 	lease := store.NewLease(ctx, client, expertsLease, s.Instance, mayChangeMaps, log)
-	maps := newMapController(ctx, fleet, lease, log)
+	maps := newMapController(ctx, fleet, lease, expertswitch.NewPacer(s.Deployment.LinkRate()), log)
 	m.RegisterGauge("cicadareel_log_lines_dropped", "Log lines not written.", log.Dropped)
 	m.RegisterGauge("cicadareel_bundle_version", "Version of the bundle in force.", fleet.bundleVersion)
 	return &environment{
--- a/internal/process/settings/check.go
+++ b/internal/process/settings/check.go
@@ -85,6 +85,7 @@
 	c.require(d.ColdTolerance >= 0, "deployment.coldTolerance", "must not be negative")
 	c.require(d.GraceMs >= minGraceMs, "deployment.graceMs", "must be at least %d milliseconds", minGraceMs)
 	c.require(d.StallMs >= 0, "deployment.stallMs", "must not be negative")
+	c.require(d.LinkMbps >= 0, "deployment.linkMbps", "must not be negative")
 	c.require(d.MemoryBytes >= 0, "deployment.memoryBytes", "must not be negative")
 }
 
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -97,10 +97,20 @@
 	GraceMs int64 `toml:"graceMs"`
 	// StallMs is how long requests stall on an endpoint that is gone.
 	StallMs int64 `toml:"stallMs"`
+	// LinkMbps is the rate of this process's network link in megabits per second; 0 if
+	// not known.
+	LinkMbps float64 `toml:"linkMbps"`
 	// MemoryBytes is the memory limit of this process; 0 means no limit.
 	MemoryBytes int64 `toml:"memoryBytes"`
 }
 
+// bytesPerMegabit converts megabits per second to bytes per second.
+const bytesPerMegabit = 1_000_000 / 8
+
+// LinkRate is the rate of this process's network link in bytes per second; 0 if not
+// known.
+func (d Deployment) LinkRate() float64 { return d.LinkMbps * bytesPerMegabit }
+
 // RetryWindow is the window over which retries are limited.
 func (d Deployment) RetryWindow() time.Duration {
 	return time.Duration(d.RetryWindowMs) * time.Millisecond
--- a/internal/version/expertswitch/commands.go
+++ b/internal/version/expertswitch/commands.go
@@ -13,6 +13,24 @@
 // Layout lists the experts of each rank, by layer and rank.
 type Layout [][][]int32
 
+// expertBytes is the usual size of an expert's number in an encoded layout, and
+// listBytes that of the brackets and the comma of one list.
+const (
+	expertBytes = 4
+	listBytes   = 3
+)
+
+// wireBytes estimates the encoded size of the layout.
+func (l Layout) wireBytes() int64 {
+	size := int64(0)
+	for _, layer := range l {
+		for _, experts := range layer {
+			size += listBytes + expertBytes*int64(len(experts))
+		}
+	}
+	return size
+}
+
 // Arming is a scheduled switch to a map version at the beginning of a step.
 type Arming struct {
 	Version uint64
--- a/internal/version/expertswitch/recover.go
+++ b/internal/version/expertswitch/recover.go
@@ -69,7 +69,7 @@
 		}
 		return err
 	})
-	return errors.Join(errs...)
+	return joinRankErrors(errs)
 }
 
 // collectReports returns the reports of all ranks.
@@ -82,7 +82,7 @@
 		reports[rank], err = s.ranks[rank].Report(callCtx)
 		return err
 	})
-	if err := errors.Join(errs...); err != nil {
+	if err := joinRankErrors(errs); err != nil {
 		return nil, err
 	}
 	for _, r := range reports {
@@ -173,7 +173,7 @@
 		loaded[rank], err = s.ranks[rank].Experts(callCtx)
 		return err
 	})
-	if err := errors.Join(errs...); err != nil {
+	if err := joinRankErrors(errs); err != nil {
 		return nil, false, err
 	}
 	l := make(Layout, layers)
--- a/internal/version/expertswitch/switcher.go
+++ b/internal/version/expertswitch/switcher.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// commandTimeout limits one attempt to send a command. It is many times the
-	// round trip to a rank.
+	// commandTimeout limits one attempt to send a command, and is the least limit for
+	// one with a map. It is many times the round trip to a rank.
 	commandTimeout = 80 * time.Millisecond
 	// commandTries limits the attempts to send a command that gets no response. At
 	// the highest loss rate that is expected, about one command in three is lost.
@@ -42,6 +42,7 @@
 	nextToken func() uint64
 	// reportAge is the maximum age of reports.
 	reportAge time.Duration
+	pacer     *Pacer
 	clock     stepClock
 	// switchStep is the step of the last switch. Ranks accept no other map before
 	// that step.
@@ -53,8 +54,8 @@
 
 // NewSwitcher returns a switcher for a group whose ranks are given in order.
 // nextToken returns a higher fencing token with each call.
-func NewSwitcher(group string, ranks []Rank, epoch uint64, reportAge time.Duration, nextToken func() uint64) *Switcher {
-	return &Switcher{group: group, ranks: ranks, epoch: epoch, token: nextToken(), nextToken: nextToken, reportAge: reportAge}
+func NewSwitcher(group string, ranks []Rank, epoch uint64, reportAge time.Duration, p *Pacer, nextToken func() uint64) *Switcher {
+	return &Switcher{group: group, ranks: ranks, epoch: epoch, token: nextToken(), nextToken: nextToken, reportAge: reportAge, pacer: p}
 }
 
 // Observe records the step that a rank has just reported.
@@ -139,7 +140,7 @@
 		}
 		return err
 	})
-	return errors.Join(errs...)
+	return joinRankErrors(errs)
 }
 
 // resume ends the group's hold. It raises the token, so that a delayed Hold cannot
@@ -151,7 +152,7 @@
 
 // sendAll sends a command to every rank.
 func (s *Switcher) sendAll(ctx context.Context, command func(rank int) Command) error {
-	return errors.Join(s.forEachRank(func(rank int) error { return s.send(ctx, rank, command(rank)) })...)
+	return joinRankErrors(s.forEachRank(func(rank int) error { return s.send(ctx, rank, command(rank)) }))
 }
 
 // forEachRank calls do concurrently for every rank and returns its errors by rank.
@@ -174,9 +175,7 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		callCtx, cancel := context.WithTimeout(ctx, commandTimeout)
-		err = s.ranks[rank].Send(callCtx, c, fence)
-		cancel()
+		err = s.sendOnce(ctx, rank, c, fence)
 		var conflict *ConflictError
 		var fenced *FencedError
 		if err == nil || errors.As(err, &conflict) || errors.As(err, &fenced) {
@@ -187,6 +186,30 @@
 	return err
 }
 
+// sendOnce makes one attempt to send a command.
+func (s *Switcher) sendOnce(ctx context.Context, rank int, c Command, f Fence) error {
+	prepare, ok := c.(Prepare)
+	if !ok {
+		callCtx, cancel := context.WithTimeout(ctx, commandTimeout)
+		defer cancel()
+		return s.ranks[rank].Send(callCtx, c, f)
+	}
+	if err := s.pacer.wait(ctx, prepare.Layout.wireBytes()); err != nil {
+		return err
+	}
+	started := time.Now()
+	callCtx, cancel := context.WithTimeout(ctx, s.pacer.timeout())
+	defer cancel()
+	err := s.ranks[rank].Send(callCtx, c, f)
+	switch {
+	case err == nil:
+		s.pacer.recordArrival(time.Since(started))
+	case callCtx.Err() != nil && ctx.Err() == nil:
+		s.pacer.recordTimeout()
+	}
+	return err
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	select {
