Exchange only what changed in tables, and let fast links follow the store

Cause: an exchange sent the whole table if one row was newer, four times a second to each entry, and heartbeats change rows all the time. The receiver decoded all rows and built every picker again. Followers, one of which changes expert maps, were the first by name, whatever their link. Change: mirror.SnapshotSince has the rows and removed keys after a revision, or the complete table where the removals are not known: after a complete read, or beyond 4096 of them. A process asks for changes with accepts_changes, so that older ones get whole tables. Rows of a known revision are not decoded, pickers are built only if members change. A follower with a faster link precedes one with a slower.

--- a/internal/connection/peer/tablegossip.go
+++ b/internal/connection/peer/tablegossip.go
@@ -57,6 +57,8 @@
 	lastHeard time.Time
 	// follows is true if the peer follows the store and reaches it.
 	follows bool
+	// linkRate is the rate of the peer's link in bytes per second; 0 if not known.
+	linkRate float64
 	// lastFailed is when a call to the peer last failed; zero after one that
 	// succeeded.
 	lastFailed time.Time
@@ -158,8 +160,9 @@
 }
 
 // updateFollowing decides whether this process follows the store. It starts while
-// too few other followers are known, and stops once enough followers precede it by
-// name. While stepping down, it follows only if no other follower is known.
+// too few other followers are known, and stops once enough followers precede it. A
+// faster link precedes a slower one, and then the name decides: followers send
+// copies to all others, and one of them changes expert maps. While stepping down, it follows only if no other follower is known.
 func (g *TableGossip) updateFollowing() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -169,7 +172,7 @@
 			continue
 		}
 		others++
-		if state.instance < g.self.Instance {
+		if state.precedes(g.self) {
 			preceding++
 		}
 	}
@@ -187,6 +190,14 @@
 	}
 }
 
+// precedes reports whether the peer is preferred to a process as a follower.
+func (s peerState) precedes(self Self) bool {
+	if s.linkRate != self.LinkRate {
+		return s.linkRate > self.LinkRate
+	}
+	return s.instance < self.Instance
+}
+
 // liveFollowers returns the peers that announced within followerTTL that they follow
 // the store.
 // The caller must hold mu.
@@ -276,7 +287,7 @@
 
 // applyCopy replaces the mirror's copy of a table if the received copy is newer.
 func (g *TableGossip) applyCopy(c *wire.TableCopy) {
-	snapshot := mirror.Snapshot{Revision: c.GetRevision(), Authoritative: c.GetSettled()}
+	snapshot := mirror.Snapshot{Since: c.GetSince(), Removed: c.GetRemoved(), Revision: c.GetRevision(), Authoritative: c.GetSettled()}
 	for _, r := range c.GetRows() {
 		row := table.Row{Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision()}
 		if r.GetLapsedFor() != nil {
@@ -290,7 +301,7 @@
 
 // summary returns the revisions of this process's table copies.
 func (g *TableGossip) summary() *wire.MirrorSummary {
-	summary := &wire.MirrorSummary{Self: g.selfInfo(), Peers: g.peersToAnnounce()}
+	summary := &wire.MirrorSummary{Self: g.selfInfo(), Peers: g.peersToAnnounce(), AcceptsChanges: true}
 	for _, t := range mirror.Topics() {
 		if revision, ok := g.mirror.Revision(t); ok {
 			summary.Copies = append(summary.Copies, &wire.TableCopy{Topic: string(t), Revision: revision})
@@ -300,7 +311,7 @@
 }
 
 // Mirror implements wire.PeerServer. It returns the table copies that are newer than
-// those of the caller.
+// those of the caller, or what changed in them.
 func (g *TableGossip) Mirror(_ context.Context, summary *wire.MirrorSummary) (*wire.MirrorUpdate, error) {
 	g.recordPeers(summary.GetSelf(), summary.GetPeers())
 	theirs := map[mirror.Topic]uint64{}
@@ -313,16 +324,21 @@
 	}
 	for _, t := range mirror.Topics() {
 		if revision, ok := g.mirror.Revision(t); ok && revision > theirs[t] {
-			update.Copies = append(update.Copies, g.copyMessage(t))
+			since := uint64(0)
+			if summary.GetAcceptsChanges() {
+				since = theirs[t]
+			}
+			update.Copies = append(update.Copies, g.copyMessage(t, since))
 		}
 	}
 	return update, nil
 }
 
-// copyMessage converts this process's copy of a table to its message.
-func (g *TableGossip) copyMessage(t mirror.Topic) *wire.TableCopy {
-	snapshot, _ := g.mirror.Snapshot(t)
-	message := &wire.TableCopy{Topic: string(t), Revision: snapshot.Revision, Settled: snapshot.Authoritative}
+// copyMessage converts this process's copy of a table to its message. The message
+// has only what changed after the revision since, if that is known.
+func (g *TableGossip) copyMessage(t mirror.Topic, since uint64) *wire.TableCopy {
+	snapshot, _ := g.mirror.SnapshotSince(t, since)
+	message := &wire.TableCopy{Topic: string(t), Revision: snapshot.Revision, Settled: snapshot.Authoritative, Since: snapshot.Since, Removed: snapshot.Removed}
 	for _, r := range snapshot.Rows {
 		message.Rows = append(message.Rows, &wire.TableRow{Key: r.Key, Value: r.Value, Revision: r.Revision})
 	}
@@ -338,6 +354,7 @@
 		Instance: g.self.Instance,
 		Address:  g.self.Address.String(),
 		Follows:  g.Following() && !g.mirror.LastCallFailed(),
+		LinkRate: g.self.LinkRate,
 	}
 }
 
@@ -351,7 +368,7 @@
 			break
 		}
 		state := g.peers[at]
-		announced = append(announced, &wire.PeerInfo{Instance: state.instance, Address: at.String(), Age: DurationToWire(time.Since(state.lastHeard)), Follows: state.follows})
+		announced = append(announced, &wire.PeerInfo{Instance: state.instance, Address: at.String(), Age: DurationToWire(time.Since(state.lastHeard)), Follows: state.follows, LinkRate: state.linkRate})
 	}
 	return announced
 }
@@ -382,7 +399,7 @@
 	}
 	state := g.peers[at]
 	if heard.After(state.lastHeard) {
-		state.instance, state.lastHeard = p.GetInstance(), heard
+		state.instance, state.lastHeard, state.linkRate = p.GetInstance(), heard, p.GetLinkRate()
 		state.follows = p.GetFollows() && time.Since(state.lastFailed) >= unresponsiveTTL
 		g.peers[at] = state
 	}
--- a/internal/connection/peer/viewgossip.go
+++ b/internal/connection/peer/viewgossip.go
@@ -38,6 +38,9 @@
 	Instance      string
 	FailureDomain string
 	Address       netip.AddrPort
+	// LinkRate is the rate of the process's network link in bytes per second; 0 if
+	// not known.
+	LinkRate float64
 }
 
 // ViewGossip exchanges the view of the operators' intent with neighbours and sends
--- a/internal/process/entry/directfleet.go
+++ b/internal/process/entry/directfleet.go
@@ -167,8 +167,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	present := map[string]bool{}
+	membersChanged := false
 	for _, row := range s.All() {
-		info, err := platform.DecodeEndpoint(row)
+		info, err := f.decodeEndpoint(row)
 		if err != nil {
 			f.logIgnoredRow("endpoints", row, err)
 			continue
@@ -177,22 +178,34 @@
 			continue
 		}
 		present[info.Name] = true
-		f.applyEndpoint(info)
+		membersChanged = f.applyEndpoint(info) || membersChanged
 	}
 	for name, e := range f.endpoints {
 		if !present[name] {
 			e.retire("no longer announced", s.Revision)
 			delete(f.endpoints, name)
+			membersChanged = true
 		}
 	}
 	f.endpointsRead = true
-	f.rebuildPickers()
+	if membersChanged {
+		f.rebuildPickers()
+	}
+}
+
+// decodeEndpoint decodes the row of an endpoint, unless that revision of it is known.
+func (f *directFleet) decodeEndpoint(row table.Row) (roster.Endpoint, error) {
+	if e := f.endpoints[row.Key]; e != nil && e.info.Revision == row.Revision {
+		return e.info, nil
+	}
+	return platform.DecodeEndpoint(row)
 }
 
 // applyEndpoint adds or updates one endpoint. One that restarted or moved to
-// another address is replaced.
-func (f *directFleet) applyEndpoint(info roster.Endpoint) {
+// another address is replaced. It reports whether the members of a group changed.
+func (f *directFleet) applyEndpoint(info roster.Endpoint) bool {
 	e := f.endpoints[info.Name]
+	changed := e == nil || e.info.Leaving != info.Leaving || !e.info.StartedAt.Equal(info.StartedAt) || e.info.Address != info.Address
 	if e != nil && (!e.info.StartedAt.Equal(info.StartedAt) || e.info.Address != info.Address) {
 		e.retire("restarted or moved", info.Revision)
 		e = nil
@@ -210,6 +223,7 @@
 		e.joinGroup(f.group(info.Membership.Group))
 		e.group.applyAnnouncement(*info.Membership)
 	}
+	return changed
 }
 
 // group returns the lock-step group with the name and creates it if needed.
--- a/internal/process/entry/peergossip.go
+++ b/internal/process/entry/peergossip.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	self := peer.Self{Instance: s.Instance, FailureDomain: s.FailureDomain, Address: s.PeerAddress}
+	self := peer.Self{Instance: s.Instance, FailureDomain: s.FailureDomain, Address: s.PeerAddress, LinkRate: s.Deployment.LinkRate()}
 	dialer := peer.NewDialerWith(func() credentials.TransportCredentials { return id.ClientCredentials() },
 		func(ctx context.Context, address string) (net.Conn, error) { return n.dial(ctx, "tcp", address) })
 	p := &peerGossip{conns: peer.NewConnPool(dialer), server: peer.NewGRPCServer(id.ServerCredentials())}
--- a/internal/version/mirror/mirror.go
+++ b/internal/version/mirror/mirror.go
@@ -27,9 +27,15 @@
 // Topics returns every topic.
 func Topics() []Topic { return []Topic{Intent, Endpoints} }
 
-// Snapshot is a complete table at a revision.
+// Snapshot is a table at a revision: the complete one, or what changed after an
+// earlier revision.
 type Snapshot struct {
+	// Since is that earlier revision; 0 for a complete table.
+	Since uint64
+	// Rows are all rows, or those that changed after Since.
 	Rows []table.Row
+	// Removed are the keys of rows removed after Since; empty in a complete table.
+	Removed []string
 	// Lapsed are removed rows that remain in use for a grace period.
 	Lapsed   []LapsedRow
 	Revision uint64
@@ -62,6 +68,10 @@
 	Revision uint64
 }
 
+// maxRemovals is the number of removed keys that a copy remembers for partial
+// snapshots.
+const maxRemovals = 4096
+
 // lapseGrace is how long an endpoint's row may be missing after the store is
 // reachable again. An endpoint that is alive writes its row again within about two
 // seconds.
@@ -76,6 +86,10 @@
 	// lapsed has rows that were removed while the store was unreachable or shortly
 	// after.
 	lapsed map[string]lapse
+	// removals holds the keys of removed rows with the revision of the copy at their
+	// removal, if that is later than removalsSince.
+	removals      map[string]uint64
+	removalsSince uint64
 }
 
 // lapse is a lapsed row with the end of its grace period, which a later outage
@@ -104,7 +118,7 @@
 func NewMirror() *Mirror {
 	m := &Mirror{topics: map[Topic]*topicCopy{}, changed: make(chan struct{})}
 	for _, t := range Topics() {
-		m.topics[t] = &topicCopy{rows: map[string]table.Row{}, lapsed: map[string]lapse{}}
+		m.topics[t] = &topicCopy{rows: map[string]table.Row{}, lapsed: map[string]lapse{}, removals: map[string]uint64{}}
 	}
 	return m
 }
@@ -159,13 +173,25 @@
 
 // Snapshot returns the copy of a topic with its rows in key order, and false if
 // there is no copy.
-func (m *Mirror) Snapshot(t Topic) (Snapshot, bool) {
+func (m *Mirror) Snapshot(t Topic) (Snapshot, bool) { return m.SnapshotSince(t, 0) }
+
+// SnapshotSince is like Snapshot, but has only what changed after a revision, if the
+// mirror knows that.
+func (m *Mirror) SnapshotSince(t Topic, since uint64) (Snapshot, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c := m.topics[t]
 	s := Snapshot{Revision: c.revision, Authoritative: m.authoritative()}
+	if since >= c.removalsSince {
+		s.Since = since
+	}
 	for _, row := range c.rows {
-		s.Rows = append(s.Rows, row)
+		if s.Since == 0 || row.Revision > s.Since {
+			s.Rows = append(s.Rows, row)
+		}
+	}
+	if s.Since > 0 {
+		s.Removed = c.removedSince(s.Since)
 	}
 	for _, l := range c.lapsed {
 		s.Lapsed = append(s.Lapsed, LapsedRow{Row: l.row, Remaining: max(0, time.Until(m.graceEnd(l)))})
@@ -174,29 +200,42 @@
 	return s, c.known
 }
 
-// Replace replaces a copy by a complete table. It reports false if the copy is at
-// least as new.
+// removedSince returns the keys of the rows that were removed after a revision.
+func (c *topicCopy) removedSince(revision uint64) []string {
+	var keys []string
+	for key, removedAt := range c.removals {
+		if removedAt > revision {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// Replace brings a copy to the revision of a snapshot. It reports false if the copy
+// is at least as new, or older than the beginning of a partial snapshot.
 func (m *Mirror) Replace(t Topic, s Snapshot) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c := m.topics[t]
-	if c.known && s.Revision <= c.revision {
+	if c.known && s.Revision <= c.revision || s.Since > 0 && (!c.known || c.revision < s.Since) {
 		return false
 	}
+	if s.Since == 0 {
+		// Rows may have come and gone since the copy's revision.
+		c.forgetRemovals(s.Revision)
+	}
 	if s.Authoritative {
 		clear(c.lapsed)
 	}
-	kept := map[string]bool{}
 	for _, row := range s.Rows {
-		kept[row.Key] = true
 		c.putRow(row)
 	}
-	for key := range c.rows {
-		switch {
-		case kept[key]:
-		case s.Authoritative:
+	for _, key := range c.missingFrom(s) {
+		c.recordRemoval(key, s.Revision)
+		if s.Authoritative {
 			delete(c.rows, key)
-		default:
+		} else {
 			m.removeRow(t, key)
 		}
 	}
@@ -208,6 +247,40 @@
 	return true
 }
 
+// missingFrom returns the keys of the copy's rows that a newer snapshot does not have
+// any more.
+func (c *topicCopy) missingFrom(s Snapshot) []string {
+	if s.Since > 0 {
+		return s.Removed
+	}
+	kept := map[string]bool{}
+	for _, row := range s.Rows {
+		kept[row.Key] = true
+	}
+	var missing []string
+	for key := range c.rows {
+		if !kept[key] {
+			missing = append(missing, key)
+		}
+	}
+	return missing
+}
+
+// recordRemoval remembers a removed key. If there are too many, it forgets them all.
+func (c *topicCopy) recordRemoval(key string, revision uint64) {
+	if len(c.removals) >= maxRemovals {
+		c.forgetRemovals(revision)
+	}
+	c.removals[key] = revision
+}
+
+// forgetRemovals forgets the removed keys. Snapshots that begin before the revision
+// are complete from then on.
+func (c *topicCopy) forgetRemovals(revision uint64) {
+	clear(c.removals)
+	c.removalsSince = revision
+}
+
 // Apply applies changes to a copy. It reports false if there is no copy or if the
 // copy is at least as new.
 func (m *Mirror) Apply(t Topic, d Delta) bool {
@@ -221,6 +294,7 @@
 		c.putRow(row)
 	}
 	for _, key := range d.Removed {
+		c.recordRemoval(key, d.Revision)
 		m.removeRow(t, key)
 	}
 	c.revision = d.Revision
@@ -235,6 +309,7 @@
 	if row.Revision >= c.rows[row.Key].Revision {
 		c.rows[row.Key] = row
 		delete(c.lapsed, row.Key)
+		delete(c.removals, row.Key)
 	}
 }
 
--- a/internal/version/mirror/mirror_test.go
+++ b/internal/version/mirror/mirror_test.go
@@ -50,6 +50,7 @@
 	watchChanges
 	pauseReading
 	copyPeer
+	copyChanges
 )
 
 const processes = 3
@@ -57,7 +58,7 @@
 // weightedKinds repeats the kinds that must often follow each other without an
 // outage between them.
 var weightedKinds = []int{writeRow, removeRow, storeDown, storeUp, storeUp, disconnect, reconnect, reconnect, pauseReading,
-	readTable, watchChanges, watchChanges, watchChanges, copyPeer, copyPeer, copyPeer, copyPeer, copyPeer}
+	readTable, watchChanges, watchChanges, watchChanges, copyPeer, copyPeer, copyPeer, copyChanges, copyChanges, copyChanges}
 
 func drawEvent(t *rapid.T) event {
 	return event{
@@ -123,6 +124,11 @@
 		if snapshot, ok := s.mirrors[e.other].Snapshot(mirror.Endpoints); ok {
 			m.Replace(mirror.Endpoints, snapshot)
 		}
+	case copyChanges:
+		since, _ := m.Revision(mirror.Endpoints)
+		if snapshot, ok := s.mirrors[e.other].SnapshotSince(mirror.Endpoints, since); ok {
+			m.Replace(mirror.Endpoints, snapshot)
+		}
 	}
 }
 
@@ -213,6 +219,30 @@
 		})
 	})
 
+	It("copy only what changed", func() {
+		source, target := mirror.NewMirror(), mirror.NewMirror()
+		rows := []table.Row{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}, {Key: "c", Revision: 3}}
+		source.Replace(mirror.Endpoints, mirror.Snapshot{Rows: rows, Revision: 3})
+		complete, _ := source.SnapshotSince(mirror.Endpoints, 0)
+		target.Replace(mirror.Endpoints, complete)
+		source.Apply(mirror.Endpoints, mirror.Delta{Changed: []table.Row{{Key: "b", Revision: 4}}, Removed: []string{"c"}, Revision: 5})
+		changes, _ := source.SnapshotSince(mirror.Endpoints, 3)
+		Expect(changes.Rows).To(Equal([]table.Row{{Key: "b", Revision: 4}}))
+		Expect(changes.Removed).To(Equal([]string{"c"}))
+		Expect(target.Replace(mirror.Endpoints, changes)).To(BeTrue())
+		copied, _ := target.Snapshot(mirror.Endpoints)
+		expected, _ := source.Snapshot(mirror.Endpoints)
+		Expect(copied.Rows).To(Equal(expected.Rows))
+	})
+
+	It("send a complete table where removals are not known", func() {
+		source := mirror.NewMirror()
+		source.Replace(mirror.Endpoints, mirror.Snapshot{Rows: []table.Row{{Key: "a", Revision: 1}}, Revision: 9})
+		snapshot, _ := source.SnapshotSince(mirror.Endpoints, 8)
+		Expect(snapshot.Since).To(BeZero())
+		Expect(snapshot.Rows).To(HaveLen(1))
+	})
+
 	It("do not lengthen each other's grace period of a lapsed row", func() {
 		synctest.Test(suite, func(*testing.T) {
 			one, two := mirror.NewMirror(), mirror.NewMirror()
