Cut off responses without end

Ruled out: chunk sizes and trailers (net/http limits them: at most 256 KiB are read); streams that stall but send bytes now and then (they end with the route's time, in the test after exactly the attempt's 8 s).

--- a/internal/connection/endpoint/direct.go
+++ b/internal/connection/endpoint/direct.go
@@ -201,7 +201,8 @@
 }
 
 // acceptResponse queues the head of an event stream at once. It buffers any
-// other response up to maxBufferedBytes and streams the rest of a longer one.
+// other response up to maxBufferedBytes and streams the rest of a longer one. A
+// longer error response counts as broken off.
 func (x *exchange) acceptResponse(resp *http.Response) {
 	head := transport.Head{Status: resp.StatusCode, Header: resp.Header}
 	if x.attempt.Stream && resp.StatusCode == http.StatusOK {
@@ -209,10 +210,11 @@
 		return
 	}
 	content, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	failed := resp.StatusCode >= http.StatusInternalServerError
 	switch {
-	case err != nil:
+	case err != nil, failed && len(content) == maxBufferedBytes:
 		x.finish(BrokenOff{}, transport.Broken{})
-	case resp.StatusCode >= http.StatusInternalServerError && len(content) < maxBufferedBytes:
+	case failed:
 		x.finish(ServerError{}, transport.Failed{Head: head, Body: content})
 	case len(content) < maxBufferedBytes:
 		x.queue = append(x.queue, head, transport.Data{Payload: content})
--- a/internal/connection/endpoint/endpoint.go
+++ b/internal/connection/endpoint/endpoint.go
@@ -25,6 +25,11 @@
 	probeTimeout = time.Second
 	// maxIdleConnections bounds the idle connections to the endpoint.
 	maxIdleConnections = 256
+	// maxHeadBytes bounds the status line and the header fields of a response, together
+	// with those of interim responses before it.
+	maxHeadBytes = 64 << 10
+	// maxProbeBytes bounds a load report.
+	maxProbeBytes = 64 << 10
 	// RequestIDHeader carries the request id.
 	RequestIDHeader = "Cicadareel-Request-Id"
 	// PriorityHeader carries the request's priority.
@@ -109,6 +114,8 @@
 		DisableKeepAlives:   unpooled,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConnections,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
@@ -159,7 +166,7 @@
 		return Load{}, oops.In("endpoint").Wrap(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	content, err := io.ReadAll(resp.Body)
+	content, err := io.ReadAll(io.LimitReader(resp.Body, maxProbeBytes))
 	if err != nil {
 		return Load{}, oops.In("endpoint").Wrap(err)
 	}
--- a/internal/request/eventstream/splicer.go
+++ b/internal/request/eventstream/splicer.go
@@ -9,7 +9,7 @@
 )
 
 // maxEventBytes bounds an event that is not complete yet.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 64 << 10
 
 // OrderError reports an event whose id is not the successor of the last one.
 type OrderError struct{ Last, Got uint64 }
@@ -65,7 +65,7 @@
 	complete := s.takeFirst(end)
 	s.searched = max(0, len(s.partial)-len(crlfBlankLine))
 	if len(s.partial) > maxEventBytes {
-		return complete, &MalformedError{Problem: "an event is longer than 1 MiB"}
+		return complete, &MalformedError{Problem: "an event is longer than 64 KiB"}
 	}
 	return complete, nil
 }
--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -103,4 +103,7 @@
 without "groups are held while ranks are armed" $switch/switcher.go 's/err = s.send\(ctx, 0, Hold\{Step: step\}\)/err = nil/' ./$entry "expert maps"
 without "ranks are disarmed under a hold" $switch/recover.go 's/err := s.send\(ctx, rank, Hold\{Step: a.Step\}\)/err := error(nil)/' ./$entry "expert maps"
 without "holds of an abandoned switch are ended" $switch/recover.go 's/held\[\*r.Held\] = true//' ./$entry "expert maps"
+without "heads without end are cut off" internal/connection/endpoint/endpoint.go 's/MaxResponseHeaderBytes: .*//' ./internal/connection/endpoint ""
+without "events without end are cut off" internal/request/eventstream/splicer.go 's/len\(s.partial\) > maxEventBytes/false/' ./internal/connection/endpoint ""
+without "error responses without end are broken off" internal/connection/endpoint/direct.go 's/, failed \&\& len\(content\) == maxBufferedBytes:/:/' ./internal/connection/endpoint ""
 wait
