Give rows the grace period if a follower pauses in an outage

Cause: RecordPause cleared the failed call without noting its end, so rows that the copy of a peer lacked afterwards were removed at once, though their endpoints may have lapsed in the outage only. Ruled out: the copies themselves (revisions were right). Change: a pause in an outage counts as its end.

--- a/internal/version/mirror/mirror.go
+++ b/internal/version/mirror/mirror.go
@@ -143,10 +143,14 @@
 	m.lastCallFailed, m.paused = false, false
 }
 
-// RecordPause records that this process leaves reading the store to others.
+// RecordPause records that this process leaves reading the store to others. An outage
+// that it saw ends for it then.
 func (m *Mirror) RecordPause() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.lastCallFailed {
+		m.recoveredAt = time.Now()
+	}
 	m.lastCallFailed, m.paused = false, true
 }
 
--- a/internal/version/mirror/mirror_test.go
+++ b/internal/version/mirror/mirror_test.go
@@ -243,6 +243,24 @@
 		Expect(snapshot.Rows).To(HaveLen(1))
 	})
 
+	It("keep rows for the grace period that are missing in a copy after an outage in which they paused", func() {
+		synctest.Test(suite, func(*testing.T) {
+			m := mirror.NewMirror()
+			m.RecordSuccess()
+			m.Replace(mirror.Endpoints, mirror.Snapshot{Rows: []table.Row{{Key: "e", Revision: 1}}, Revision: 1})
+			time.Sleep(grace)
+			m.RecordFailure()
+			m.RecordPause()
+			m.Replace(mirror.Endpoints, mirror.Snapshot{Revision: 2})
+			snapshot, _ := m.Snapshot(mirror.Endpoints)
+			Expect(snapshot.Lapsed).To(HaveLen(1))
+			time.Sleep(grace)
+			m.Sweep()
+			snapshot, _ = m.Snapshot(mirror.Endpoints)
+			Expect(snapshot.All()).To(BeEmpty())
+		})
+	})
+
 	It("do not lengthen each other's grace period of a lapsed row", func() {
 		synctest.Test(suite, func(*testing.T) {
 			one, two := mirror.NewMirror(), mirror.NewMirror()
