Limit no account while no endpoint is usable

Cause: while the only lock-step group of a small deployment is broken, the group has no slots, so every account exceeded its share. Change: without usable slots no plan has limits.

--- a/internal/request/admission/admission_test.go
+++ b/internal/request/admission/admission_test.go
@@ -74,6 +74,18 @@
 	}
 }
 
+// TestPlanWithoutEndpoints checks that nothing is limited while no endpoint is usable.
+func TestPlanWithoutEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := experiencedPlanner(usualAccounts)
+		l := busyLoad(usualAccounts)
+		l.Slots = 0
+		if plan := p.Update([]Load{l}); len(plan.Limits) > 0 {
+			t.Fatalf("limits are %v", plan.Limits)
+		}
+	})
+}
+
 // TestUsualDemandRisesSlowly checks that a flood does not become usual while it lasts.
 func TestUsualDemandRisesSlowly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/request/admission/planner.go
+++ b/internal/request/admission/planner.go
@@ -196,7 +196,9 @@
 	demand := total.demand()
 	capacity := p.target * total.Slots / p.serviceTime()
 	p.limitedWeight = 0
-	if demand <= capacity || !p.usual.known() {
+	// Without usable endpoints, other parts refuse requests, and limits would outlast the
+	// endpoints' return.
+	if demand <= capacity || !p.usual.known() || total.Slots == 0 {
 		return Plan{}
 	}
 	plan := Plan{Limits: p.limitFloods(total), RetryAfter: min(max(minReturn, time.Duration(demand/capacity*float64(minReturn))), maxReturn)}
