--- a/internal/request/admission/limiter.go
+++ b/internal/request/admission/limiter.go
@@ -21,7 +21,7 @@
 // Request describes a request to be admitted.
 type Request struct {
 	Account string
-	// Cost is the work that the request needs, as a multiple of a small one's.
+	// Cost is the work that the request needs, as a multiple of the usual request's.
 	Cost float64
 	// Returned is true if the request comes back after the Retry-After of a refusal.
 	Returned bool
--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -96,7 +96,7 @@
 without "armed ranks of an abandoned switch are disarmed" $switch/recover.go 's/for a := range armed \{/for a := range map[Arming]bool{} {/' ./$entry "any schedule around"
 without "groups are held while ranks are armed (any schedule)" $switch/switcher.go 's/err = s.send\(ctx, 0, Hold\{Step: step\}\)/err = nil/' ./$entry "any schedule around"
 without "a group that is stuck at a hold is taken over" $entry/holdwatch.go 's/m.lease.TakeOver\(/_ = (/' ./$entry "group on hold"
-without "entries that shut down acquire no lease" internal/connection/peer/tablegossip.go 's/\tg.steppingDown = true/\tg.steppingDown = false/' ./$entry "shutting down"
+without "entries that shut down acquire no lease" internal/connection/peer/following.go 's/\tg.steppingDown = true/\tg.steppingDown = false/' ./$entry "shutting down"
 without "accounts have a priority" platform/config.go 's/Priority: t.priority\(\)/Priority: nil/' ./$entry "priority of their client account"
 without "held failure domains get no requests (soak)" $entry/directfleet.go 's/e.member.SetHeld\(held\[.*/e.member.SetHeld(false)/' ./internal/soak 1
 without "a status that implies no execution needs the header for it (soak)" platform/endpointdialect.go 's/case impliesNotExecuted\(status\)/case false/' ./internal/soak 4
