--- a/internal/version/expertswitch/switcher_test.go
+++ b/internal/version/expertswitch/switcher_test.go
@@ -86,9 +86,9 @@
 }
 
 // switchGroups switches three large groups at the same time and returns their
-// errors and the time that all took. Ranks leave up to unanswered commands without
+// time that all took and their errors. Ranks leave up to unanswered commands without
 // a response.
-func switchGroups(l *link, unanswered int) (error, time.Duration) {
+func switchGroups(l *link, unanswered int) (time.Duration, error) {
 	pacer := NewPacer(l.rate)
 	started := time.Now()
 	errs := make([]error, 3)
@@ -103,7 +103,7 @@
 		switches.Go(func() { errs[i] = s.Switch(context.Background(), largeLayout(), 0) })
 	}
 	switches.Wait()
-	return errors.Join(errs...), time.Since(started)
+	return time.Since(started), errors.Join(errs...)
 }
 
 func TestSwitchOfLargeGroups(t *testing.T) {
@@ -125,7 +125,7 @@
 				if l.rate == 0 {
 					l.rate = slowLink
 				}
-				err, took := switchGroups(l, test.unanswered)
+				took, err := switchGroups(l, test.unanswered)
 				if err != nil || took > test.within {
 					t.Fatalf("switched in %v, limit %v: %v", took, test.within, err)
 				}
