--- a/internal/version/expertswitch/switcher_test.go
+++ b/internal/version/expertswitch/switcher_test.go
@@ -85,7 +85,7 @@
 	return l
 }
 
-// switchGroups switches three large groups at the same time and returns their
+// switchGroups switches three large groups at the same time and returns the
 // time that all took and their errors. Ranks leave up to unanswered commands without
 // a response.
 func switchGroups(l *link, unanswered int) (time.Duration, error) {
