--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -80,7 +80,7 @@
 without "lapsed rows stay for a grace period" internal/version/mirror/mirror.go 's/lapseGrace = 2200/lapseGrace = 1/' ./$entry "rows lapsed"
 without "lapsed rows expire" internal/version/mirror/mirror.go 's/lapseGrace = 2200/lapseGrace = 220000/' ./$entry "rows lapsed"
 without "peers do not extend the grace period of lapsed rows" internal/version/mirror/mirror.go 's/Add\(l.Remaining\)/Add(lapseGrace)/' ./internal/version/mirror "lengthen"
-without "rows that an authoritative snapshot lacks are deleted at once" internal/version/mirror/mirror.go 's/case s.Authoritative:/case false:/' ./internal/version/mirror "never lost the store"
+without "rows that an authoritative snapshot lacks are deleted at once" internal/version/mirror/mirror.go 's/^\t\tif s.Authoritative \{/\t\tif false {/' ./internal/version/mirror "never lost the store"
 without "tables are read anew when the store lost its history" platform/store.go 's/status == http.StatusGone/status == 999/' ./$entry "loses its history"
 without "tables are copied from peers" internal/connection/peer/tablegossip.go 's/g.mirror.Replace\(.*//' ./$entry "comes from peers"
 without "watch calls without a response time out" internal/connection/store/follower.go 's/longPollWait = 1500/longPollWait = 15000/' ./$entry "calls unanswered"
