--- a/internal/connection/peer/following.go
+++ b/internal/connection/peer/following.go
@@ -43,7 +43,8 @@
 // updateFollowing decides whether this process follows the store. It starts while
 // too few other followers are known, and stops once enough followers precede it. A
 // faster link precedes a slower one, and then the name decides: followers send
-// copies to all others, and one of them changes expert maps. While stepping down, it follows only if no other follower is known.
+// copies to all others, and one of them changes expert maps. While stepping down, it
+// follows only if no other follower is known.
 func (g *TableGossip) updateFollowing() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -97,8 +98,7 @@
 }
 
 // liveFollowers returns the peers that announced within followerTTL that they follow
-// the store.
-// The caller must hold mu.
+// the store. The caller must hold mu.
 func (g *TableGossip) liveFollowers() []netip.AddrPort {
 	var followers []netip.AddrPort
 	for at, state := range g.peers {
