List limits that come while slots are free

Cause: the planner limits all accounts from 0.9 of the slots in progress on, also where everyone asks for the usual and is on time. Found by make demo-platform, run as a newcomer would: 6, 5 and 6 of 240 drafts got 503 with accountLimited in three of three runs, none on the untouched code. Ruled out: floods (one account, at its usual demand), lost endpoints (24 slots usable). TestPlanWithFreeSlots shows it and is listed in KNOWN-RED.txt; docs/DESIGN.md said that only what exceeds full slots is refused, which was wrong. Measured: the test fails; the package's others pass.

--- a/internal/request/admission/admission_test.go
+++ b/internal/request/admission/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -86,6 +87,20 @@
 	})
 }
 
+// TestPlanWithFreeSlots checks that the usual load is not limited while slots are free.
+func TestPlanWithFreeSlots(t *testing.T) {
+	if os.Getenv("KNOWN_RED") == "pass over" {
+		t.Skip("listed in KNOWN-RED.txt")
+	}
+	synctest.Test(t, func(t *testing.T) {
+		usual := map[string]Demand{"only": {New: 92, InFlight: 92}}
+		p := experiencedPlanner(usual)
+		if plan := p.Update([]Load{busyLoad(usual)}); len(plan.Limits) > 0 {
+			t.Fatalf("limits are %v", plan.Limits)
+		}
+	})
+}
+
 // TestUsualDemandRisesSlowly checks that a flood does not become usual while it lasts.
 func TestUsualDemandRisesSlowly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
