Log the era of the store, and what a reread after lost history returns

Event 207 had only the revision of the copy, so it could not tell a dropped history from a store that came back from a copy, nor a reread without effect from one that failed.

Specs of mirror, entry, platform, events and connections green.

--- a/internal/connection/peer/tablegossip.go
+++ b/internal/connection/peer/tablegossip.go
@@ -282,9 +282,9 @@
 
 // applyCopy replaces the mirror's copy of a table if the received copy is newer.
 func (g *TableGossip) applyCopy(c *wire.TableCopy) {
-	snapshot := mirror.Snapshot{Since: c.GetSince(), Removed: c.GetRemoved(), Revision: c.GetRevision(), Authoritative: c.GetSettled()}
+	snapshot := mirror.Snapshot{Since: table.Revision{Number: c.GetSince()}, Removed: c.GetRemoved(), Revision: table.Revision{Number: c.GetRevision()}, Authoritative: c.GetSettled()}
 	for _, r := range c.GetRows() {
-		row := table.Row{Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision()}
+		row := table.Row{Key: r.GetKey(), Value: r.GetValue(), Revision: table.Revision{Number: r.GetRevision()}}
 		if r.GetLapsedFor() != nil {
 			snapshot.Lapsed = append(snapshot.Lapsed, mirror.LapsedRow{Row: row, Remaining: r.GetLapsedFor().AsDuration()})
 			continue
@@ -302,7 +302,7 @@
 	}
 	for _, t := range mirror.Topics() {
 		if revision, ok := g.mirror.Revision(t); ok {
-			summary.Copies = append(summary.Copies, &wire.TableCopy{Topic: string(t), Revision: revision})
+			summary.Copies = append(summary.Copies, &wire.TableCopy{Topic: string(t), Revision: revision.Number})
 		}
 	}
 	return summary
@@ -315,9 +315,9 @@
 	g.suspects.Merge(promptPartsFromWire(summary.GetPromptParts()))
 	g.limits.ApplyLimits(limitsFromWire(summary.GetLimits()))
 	g.loads.RecordLoads(summary.GetSelf().GetInstance(), loadsFromWire(summary.GetLoads()))
-	theirs := map[mirror.Topic]uint64{}
+	theirs := map[mirror.Topic]table.Revision{}
 	for _, c := range summary.GetCopies() {
-		theirs[mirror.Topic(c.GetTopic())] = c.GetRevision()
+		theirs[mirror.Topic(c.GetTopic())] = table.Revision{Number: c.GetRevision()}
 	}
 	update := &wire.MirrorUpdate{
 		Self:  g.selfInfo(),
@@ -332,8 +332,8 @@
 		update.Paces = append(update.Paces, &wire.EndpointPace{Endpoint: r.Endpoint, Pace: r.Slowness, Age: DurationToWire(time.Since(r.ReportedAt))})
 	}
 	for _, t := range mirror.Topics() {
-		if revision, ok := g.mirror.Revision(t); ok && revision > theirs[t] {
-			since := uint64(0)
+		if revision, ok := g.mirror.Revision(t); ok && revision.After(theirs[t]) {
+			since := table.Revision{}
 			if summary.GetAcceptsChanges() {
 				since = theirs[t]
 			}
@@ -345,14 +345,14 @@
 
 // copyMessage converts this process's copy of a table to its message. The message
 // has only what changed after the revision since, if that is known.
-func (g *TableGossip) copyMessage(t mirror.Topic, since uint64) *wire.TableCopy {
+func (g *TableGossip) copyMessage(t mirror.Topic, since table.Revision) *wire.TableCopy {
 	snapshot, _ := g.mirror.SnapshotSince(t, since)
-	message := &wire.TableCopy{Topic: string(t), Revision: snapshot.Revision, Settled: snapshot.Authoritative, Since: snapshot.Since, Removed: snapshot.Removed}
+	message := &wire.TableCopy{Topic: string(t), Revision: snapshot.Revision.Number, Settled: snapshot.Authoritative, Since: snapshot.Since.Number, Removed: snapshot.Removed}
 	for _, r := range snapshot.Rows {
-		message.Rows = append(message.Rows, &wire.TableRow{Key: r.Key, Value: r.Value, Revision: r.Revision})
+		message.Rows = append(message.Rows, &wire.TableRow{Key: r.Key, Value: r.Value, Revision: r.Number})
 	}
 	for _, l := range snapshot.Lapsed {
-		message.Rows = append(message.Rows, &wire.TableRow{Key: l.Row.Key, Value: l.Row.Value, Revision: l.Row.Revision, LapsedFor: DurationToWire(l.Remaining)})
+		message.Rows = append(message.Rows, &wire.TableRow{Key: l.Row.Key, Value: l.Row.Value, Revision: l.Row.Number, LapsedFor: DurationToWire(l.Remaining)})
 	}
 	return message
 }
--- a/internal/connection/store/client.go
+++ b/internal/connection/store/client.go
@@ -75,14 +75,14 @@
 // Get reads one row. An absent row has revision 0.
 func (c *Client) Get(ctx context.Context, key string) (table.Row, error) {
 	var row table.Row
-	err := c.api.Call(ctx, http.MethodGet, c.table, "/table/row?key="+url.QueryEscape(key), nil, &row)
+	_, err := c.api.Call(ctx, http.MethodGet, c.table, "/table/row?key="+url.QueryEscape(key), nil, &row)
 	return row, err
 }
 
 // Scan reads all rows whose keys start with prefix, in key order.
 func (c *Client) Scan(ctx context.Context, prefix string) ([]table.Row, error) {
 	var rows []table.Row
-	err := c.api.Call(ctx, http.MethodGet, c.table, "/table/rows?prefix="+url.QueryEscape(prefix), nil, &rows)
+	_, err := c.api.Call(ctx, http.MethodGet, c.table, "/table/rows?prefix="+url.QueryEscape(prefix), nil, &rows)
 	return rows, err
 }
 
@@ -93,7 +93,7 @@
 	if err != nil {
 		return nil, oops.In("platform").Wrap(err)
 	}
-	err = c.api.Call(ctx, http.MethodPost, c.table, "/table/commit", body, &results)
+	_, err = c.api.Call(ctx, http.MethodPost, c.table, "/table/commit", body, &results)
 	if err == nil && len(results) != len(writes) {
 		return nil, &UnavailableError{Call: "commit", Cause: &StatusError{Status: http.StatusOK}}
 	}
@@ -102,13 +102,14 @@
 
 // Put stores an object.
 func (c *Client) Put(ctx context.Context, name string, content []byte) error {
-	return c.api.Call(ctx, http.MethodPut, c.objects, "/objects/"+url.PathEscape(name), content, nil)
+	_, err := c.api.Call(ctx, http.MethodPut, c.objects, "/objects/"+url.PathEscape(name), content, nil)
+	return err
 }
 
 // Fetch reads an object.
 func (c *Client) Fetch(ctx context.Context, name string) ([]byte, error) {
 	var content []byte
-	err := c.api.Call(ctx, http.MethodGet, c.objects, "/objects/"+url.PathEscape(name), nil, &content)
+	_, err := c.api.Call(ctx, http.MethodGet, c.objects, "/objects/"+url.PathEscape(name), nil, &content)
 	return content, err
 }
 
--- a/internal/connection/store/follower.go
+++ b/internal/connection/store/follower.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cicadareel/cicadareel/internal/events"
+	"github.com/cicadareel/cicadareel/internal/table"
 	"github.com/cicadareel/cicadareel/internal/version/mirror"
 )
 
@@ -44,15 +45,20 @@
 	// Watch is a long poll: it returns the changes after revision since as soon
 	// as there are any, or after wait. The error is a *HistoryLostError if the
 	// store no longer keeps these changes.
-	Watch(ctx context.Context, t mirror.Topic, since uint64, wait time.Duration) (mirror.Delta, error)
+	Watch(ctx context.Context, t mirror.Topic, since table.Revision, wait time.Duration) (mirror.Delta, error)
 }
 
 // HistoryLostError reports that the store no longer keeps the changes after a
 // revision, so that the whole table must be read again.
-type HistoryLostError struct{ Since uint64 }
+type HistoryLostError struct {
+	Since table.Revision
+	// Era is the era of the store, which differs from that of Since if the store came
+	// back from a copy of its content.
+	Era uint64
+}
 
 func (e *HistoryLostError) Error() string {
-	return fmt.Sprintf("store no longer keeps the changes since revision %d", e.Since)
+	return fmt.Sprintf("store in era %d does not keep the changes since revision %d of era %d", e.Era, e.Since.Number, e.Since.Era)
 }
 
 // Follower keeps a mirror up to date with the tables in the store.
@@ -103,7 +109,7 @@
 			continue
 		case errors.As(err, &lost):
 			fullRead = true
-			w.log.Warn(events.HistoryLost, events.Fields{"topic": t, "revision": lost.Since})
+			w.log.Warn(events.HistoryLost, events.Fields{"topic": t, "revision": lost.Since.Number, "era": lost.Since.Era, "storeEra": lost.Era})
 			continue
 		}
 		w.recordFailure(ctx, t, err)
@@ -129,6 +135,7 @@
 		defer cancel()
 		s, err := w.feed.Read(ctx, t)
 		if err == nil {
+			w.logRestore(t, s)
 			w.mirror.Replace(t, s)
 		}
 		return err
@@ -143,6 +150,17 @@
 	return err
 }
 
+// logRestore logs if a snapshot read from the store belongs to a later era than the
+// mirror's copy.
+func (w *Follower) logRestore(t mirror.Topic, s mirror.Snapshot) {
+	if had, known := w.mirror.Revision(t); known && s.Revision.Era > had.Era {
+		w.log.Warn(events.StoreRestored, events.Fields{
+			"topic": t, "era": had.Era, "revision": had.Number,
+			"storeEra": s.Revision.Era, "storeRevision": s.Revision.Number, "rows": len(s.Rows),
+		})
+	}
+}
+
 // recordSuccess records a successful call in the mirror and logs the end of an outage.
 func (w *Follower) recordSuccess() {
 	if w.mirror.LastCallFailed() {
--- a/internal/connection/store/intent.go
+++ b/internal/connection/store/intent.go
@@ -51,14 +51,14 @@
 // revision. The bundle has no content yet; it is nil if none was ever applied.
 func (i *IntentStore) Pointer(ctx context.Context) (*bundle.Signed, uint64, error) {
 	row, err := i.table.Get(ctx, currentBundleKey)
-	if err != nil || row.Revision == 0 {
+	if err != nil || row.Number == 0 {
 		return nil, 0, err
 	}
 	s := &bundle.Signed{}
 	if err := json.Unmarshal(row.Value, s); err != nil {
 		return nil, 0, oops.In("platform").With("key", currentBundleKey).Wrap(err)
 	}
-	return s, row.Revision, nil
+	return s, row.Number, nil
 }
 
 // FetchContent adds the content to a bundle that Pointer returned. It fetches the
@@ -176,7 +176,7 @@
 // scan the orders only if it changed.
 func (i *IntentStore) OrdersRevision(ctx context.Context) (uint64, error) {
 	row, err := i.table.Get(ctx, ordersRevisionKey)
-	return row.Revision, err
+	return row.Number, err
 }
 
 // RecordOrders writes the orders that are not recorded yet and raises the orders
--- a/internal/connection/store/jsonclient.go
+++ b/internal/connection/store/jsonclient.go
@@ -34,38 +34,39 @@
 func NewJSONClient(c *http.Client) JSONClient { return JSONClient{http: c} }
 
 // Call sends one request. A *[]byte result receives the raw response body, any
-// other non-nil result the decoded JSON. Errors are of type *UnavailableError.
-func (c JSONClient) Call(ctx context.Context, method string, at netip.AddrPort, target string, body []byte, result any) error {
-	content, err := c.roundTrip(ctx, method, at, target, body)
+// other non-nil result the decoded JSON. Errors are of type *UnavailableError. The
+// header fields of the response are returned whatever its status; nil without one.
+func (c JSONClient) Call(ctx context.Context, method string, at netip.AddrPort, target string, body []byte, result any) (http.Header, error) {
+	header, content, err := c.roundTrip(ctx, method, at, target, body)
 	if err == nil {
 		err = decode(content, result)
 	}
 	if err != nil {
-		return &UnavailableError{Call: target, Cause: err}
+		return header, &UnavailableError{Call: target, Cause: err}
 	}
-	return nil
+	return header, nil
 }
 
-// roundTrip sends one request and returns the response body. Any status other than 200
-// is an error.
-func (c JSONClient) roundTrip(ctx context.Context, method string, at netip.AddrPort, target string, body []byte) ([]byte, error) {
+// roundTrip sends one request and returns the header fields and the body of the
+// response. Any status other than 200 is an error.
+func (c JSONClient) roundTrip(ctx context.Context, method string, at netip.AddrPort, target string, body []byte) (http.Header, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+at.String()+target, bytes.NewReader(body))
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	content, err := io.ReadAll(resp.Body)
 	if err == nil && resp.StatusCode != http.StatusOK {
 		err = &StatusError{Status: resp.StatusCode}
 	}
-	return content, err
+	return resp.Header, content, err
 }
 
 // decode stores the response body in result: raw in a *[]byte, decoded otherwise.
--- a/internal/connection/store/lease.go
+++ b/internal/connection/store/lease.go
@@ -187,7 +187,7 @@
 // decodeLeaseRecord returns false if the row is absent or malformed.
 func decodeLeaseRecord(row table.Row) (leaseRecord, bool) {
 	var r leaseRecord
-	if row.Revision == 0 || json.Unmarshal(row.Value, &r) != nil {
+	if row.Number == 0 || json.Unmarshal(row.Value, &r) != nil {
 		return leaseRecord{}, false
 	}
 	return r, true
@@ -207,10 +207,10 @@
 	}
 	switch {
 	case own && k.acquiredRevision == 0:
-		k.setHeld(row.Revision)
+		k.setHeld(row.Number)
 	case !own && k.acquiredRevision > 0:
 		k.acquiredRevision, k.claim = 0, ""
-		k.log.Info(events.MapLeaseLost, events.Fields{"reason": "held by " + record.Holder, "revision": row.Revision})
+		k.log.Info(events.MapLeaseLost, events.Fields{"reason": "held by " + record.Holder, "revision": row.Number})
 	}
 	return own
 }
@@ -243,7 +243,7 @@
 	}
 	last, _ := decodeLeaseRecord(k.row)
 	value, err := json.Marshal(leaseRecord{Holder: k.holder, Claim: k.claim, Renewals: last.Renewals + 1})
-	expect := k.row.Revision
+	expect := k.row.Number
 	k.mu.Unlock()
 	if err != nil {
 		return false
@@ -256,7 +256,7 @@
 	defer k.mu.Unlock()
 	k.row, k.rowSeen = result.Row, time.Now()
 	if k.acquiredRevision == 0 {
-		k.setHeld(result.Row.Revision)
+		k.setHeld(result.Row.Number)
 	}
 	return true
 }
@@ -268,7 +268,7 @@
 	}
 	k.MarkLost("process is stopping")
 	k.mu.Lock()
-	expect := k.row.Revision
+	expect := k.row.Number
 	k.mu.Unlock()
 	value, err := json.Marshal(leaseRecord{})
 	if err != nil {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -43,6 +43,7 @@
 	PeerUnresponsive          Event = 218
 	EndpointLimitChanged      Event = 219
 	EndpointLimitInvalid      Event = 220
+	StoreRestored             Event = 221
 	SettingsReloaded          Event = 104
 	SettingsRefused           Event = 105
 	RequestOutcomeUnknown     Event = 400
@@ -101,6 +102,7 @@
 	PeerUnresponsive:          "peer does not respond",
 	EndpointLimitChanged:      "endpoint named another limit on its requests",
 	EndpointLimitInvalid:      "invalid limit of an endpoint ignored",
+	StoreRestored:             "store came back from a copy",
 	RequestOutcomeUnknown:     "request outcome unknown",
 	ResponseAborted:           "response to caller aborted",
 	RequestInvalid:            "request invalid",
--- a/internal/process/entry/directendpoint.go
+++ b/internal/process/entry/directendpoint.go
@@ -7,6 +7,7 @@
 	"github.com/cicadareel/cicadareel/internal/connection/endpoint"
 	"github.com/cicadareel/cicadareel/internal/events"
 	"github.com/cicadareel/cicadareel/internal/request/balancer"
+	"github.com/cicadareel/cicadareel/internal/table"
 	"github.com/cicadareel/cicadareel/internal/version/roster"
 	"github.com/cicadareel/cicadareel/platform"
 )
@@ -59,7 +60,7 @@
 		e.member.MarkUp()
 	}
 	if info.Leaving && !e.info.Leaving {
-		e.fleet.log.Info(events.EndpointRemoved, events.Fields{"endpoint": info.Name, "reason": "leaving", "revision": info.Revision})
+		e.fleet.log.Info(events.EndpointRemoved, events.Fields{"endpoint": info.Name, "reason": "leaving", "revision": info.Revision.Number, "era": info.Revision.Era})
 	}
 	e.info = info
 	e.member.ApplyAnnouncement(info.Slots, !info.Leaving)
@@ -76,12 +77,12 @@
 }
 
 // retire takes the endpoint out of use for good.
-func (e *directEndpoint) retire(reason string, revision uint64) {
+func (e *directEndpoint) retire(reason string, revision table.Revision) {
 	e.mu.Lock()
 	e.retired = true
 	e.mu.Unlock()
 	e.member.MarkDown()
-	e.fleet.log.Info(events.EndpointRemoved, events.Fields{"endpoint": e.info.Name, "reason": reason, "revision": revision})
+	e.fleet.log.Info(events.EndpointRemoved, events.Fields{"endpoint": e.info.Name, "reason": reason, "revision": revision.Number, "era": revision.Era})
 }
 
 // Observe implements endpoint.Observer.
--- a/internal/process/entry/directfleet.go
+++ b/internal/process/entry/directfleet.go
@@ -52,7 +52,7 @@
 
 	mu sync.RWMutex
 	// configRevision is the revision of the row that the bundle was read from.
-	configRevision uint64
+	configRevision table.Revision
 	endpoints      map[string]*directEndpoint
 	pickers        map[string]*balancer.Picker
 	heldDomains    map[string]bool
@@ -62,7 +62,7 @@
 	endpointsRead bool
 	// invalidRevisions holds the latest revision of each row that could not be
 	// parsed.
-	invalidRevisions map[string]uint64
+	invalidRevisions map[string]table.Revision
 }
 
 func newDirectFleet(ctx context.Context, s *settings.Settings, n network, m *mirror.Mirror, t *slowness.Tracker, l *events.Log) *directFleet {
@@ -79,7 +79,7 @@
 		liveEntries:      func() []string { return []string{s.Instance} },
 		onLimitChange:    func() {},
 		ctx:              ctx,
-		invalidRevisions: map[string]uint64{},
+		invalidRevisions: map[string]table.Revision{},
 	}
 	f.entryCount.Store(defaultEntryCount)
 	f.loops.Go(func() { f.followLoop(ctx) })
@@ -132,15 +132,15 @@
 	}
 }
 
-func (f *directFleet) logHolds(held map[string]bool, revision uint64) {
+func (f *directFleet) logHolds(held map[string]bool, revision table.Revision) {
 	for domain := range held {
 		if !f.heldDomains[domain] {
-			f.log.Info(events.FailureDomainHeld, events.Fields{"failureDomain": domain, "revision": revision})
+			f.log.Info(events.FailureDomainHeld, events.Fields{"failureDomain": domain, "revision": revision.Number, "era": revision.Era})
 		}
 	}
 	for domain := range f.heldDomains {
 		if !held[domain] {
-			f.log.Info(events.FailureDomainReleased, events.Fields{"failureDomain": domain, "revision": revision})
+			f.log.Info(events.FailureDomainReleased, events.Fields{"failureDomain": domain, "revision": revision.Number, "era": revision.Era})
 		}
 	}
 }
@@ -149,7 +149,7 @@
 func (f *directFleet) applyConfig(row table.Row) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if row.Revision <= f.configRevision {
+	if !row.After(f.configRevision) {
 		return
 	}
 	b, err := platform.DecodeBundle(row)
@@ -162,7 +162,7 @@
 	}
 	f.configRevision = row.Revision
 	f.bundle.Store(b)
-	f.log.Info(events.BundleAdopted, events.Fields{"version": b.Version, "revision": row.Revision, "routes": len(b.Routes)})
+	f.log.Info(events.BundleAdopted, events.Fields{"version": b.Version, "revision": row.Number, "era": row.Era, "routes": len(b.Routes)})
 }
 
 // logIgnoredRow logs a row that cannot be parsed, once per revision.
@@ -171,7 +171,7 @@
 		return
 	}
 	f.invalidRevisions[row.Key] = row.Revision
-	f.log.Warn(events.RowIgnored, events.Fields{"topic": topic, "key": row.Key, "revision": row.Revision, "error": err.Error()})
+	f.log.Warn(events.RowIgnored, events.Fields{"topic": topic, "key": row.Key, "revision": row.Number, "era": row.Era, "error": err.Error()})
 }
 
 func (f *directFleet) applyEndpoints(s mirror.Snapshot) {
@@ -226,7 +226,7 @@
 		f.endpoints[info.Name] = e
 		f.log.Info(events.EndpointAdded, events.Fields{
 			"endpoint": info.Name, "group": info.Group, "failureDomain": info.FailureDomain,
-			"address": info.Address.String(), "revision": info.Revision, "coldMs": info.ColdFor.Milliseconds(), "leaving": info.Leaving,
+			"address": info.Address.String(), "revision": info.Revision.Number, "era": info.Revision.Era, "coldMs": info.ColdFor.Milliseconds(), "leaving": info.Leaving,
 		})
 	}
 	e.update(info)
--- a/internal/request/claim/claim.go
+++ b/internal/request/claim/claim.go
@@ -200,7 +200,7 @@
 
 // deliver passes the claim in the row to the caller that waits for it.
 func (p *pendingClaim) deliver(row table.Row) {
-	if row.Revision == 0 {
+	if row.Number == 0 {
 		p.result <- result{err: &StoreDownError{Cause: &AbsentError{}}}
 		return
 	}
@@ -209,7 +209,7 @@
 		p.result <- result{err: &StoreDownError{Cause: oops.In("claim").Wrap(err)}}
 		return
 	}
-	p.result <- result{record: Record{Claim: c, Revision: row.Revision}}
+	p.result <- result{record: Record{Claim: c, Revision: row.Number}}
 }
 
 // AbsentError reports that the row of a claim does not exist after its write.
--- a/internal/standin/platformstate.go
+++ b/internal/standin/platformstate.go
@@ -129,9 +129,9 @@
 	results := make([]table.WriteResult, 0, len(writes))
 	for _, w := range writes {
 		row := p.rows[w.Key]
-		applied := row.Revision == w.Expect
+		applied := row.Number == w.Expect
 		if applied {
-			row = table.Row{Key: w.Key, Value: w.Value, Revision: w.Expect + 1}
+			row = table.Row{Key: w.Key, Value: w.Value, Revision: table.Revision{Number: w.Expect + 1}}
 			p.rows[w.Key] = row
 		}
 		results = append(results, table.WriteResult{Applied: applied, Row: row})
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -7,12 +7,24 @@
 	"encoding/json"
 )
 
+// Revision is a state of a store.
+type Revision struct {
+	// Era counts how often the store came back from a copy of its content; 0 if the
+	// store does not say. The numbers of the lost states are issued again then.
+	Era uint64 `json:"era,omitempty"`
+	// Number grows with each change within an era; 0 is the state before all changes.
+	Number uint64 `json:"revision"`
+}
+
+// After reports whether the revision is later than another one.
+func (r Revision) After(other Revision) bool { return r.Number > other.Number }
+
 // Row is one row of the table.
 type Row struct {
 	Key   string          `json:"key"`
 	Value json.RawMessage `json:"value"`
-	// Revision grows with each change of the row; 0 means that the row is absent.
-	Revision uint64 `json:"revision"`
+	// Revision is that of the row's last change; its number is 0 if the row is absent.
+	Revision
 }
 
 // Write is a conditional write: it replaces one row if its revision equals Expect.
--- a/internal/version/mirror/mirror.go
+++ b/internal/version/mirror/mirror.go
@@ -30,15 +30,15 @@
 // Snapshot is a table at a revision: the complete one, or what changed after an
 // earlier revision.
 type Snapshot struct {
-	// Since is that earlier revision; 0 for a complete table.
-	Since uint64
+	// Since is that earlier revision; zero for a complete table.
+	Since table.Revision
 	// Rows are all rows, or those that changed after Since.
 	Rows []table.Row
 	// Removed are the keys of rows removed after Since; empty in a complete table.
 	Removed []string
 	// Lapsed are removed rows that remain in use for a grace period.
 	Lapsed   []LapsedRow
-	Revision uint64
+	Revision table.Revision
 	// Authoritative is true if the process that read the table has reached the store
 	// for so long that no row is missing because of an outage.
 	Authoritative bool
@@ -51,6 +51,9 @@
 	Remaining time.Duration
 }
 
+// Complete reports whether the snapshot has the whole table.
+func (s Snapshot) Complete() bool { return s.Since == table.Revision{} }
+
 // All returns the rows including the lapsed ones.
 func (s Snapshot) All() []table.Row {
 	all := slices.Clone(s.Rows)
@@ -65,7 +68,7 @@
 	Changed []table.Row
 	// Removed are the keys of removed rows.
 	Removed  []string
-	Revision uint64
+	Revision table.Revision
 }
 
 // maxRemovals is the number of removed keys that a copy remembers for partial
@@ -81,15 +84,15 @@
 type topicCopy struct {
 	// known is false before the first snapshot.
 	known    bool
-	revision uint64
+	revision table.Revision
 	rows     map[string]table.Row
 	// lapsed has rows that were removed while the store was unreachable or shortly
 	// after.
 	lapsed map[string]lapse
 	// removals holds the keys of removed rows with the revision of the copy at their
 	// removal, if that is later than removalsSince.
-	removals      map[string]uint64
-	removalsSince uint64
+	removals      map[string]table.Revision
+	removalsSince table.Revision
 }
 
 // lapse is a lapsed row with the end of its grace period, which a later outage
@@ -118,7 +121,7 @@
 func NewMirror() *Mirror {
 	m := &Mirror{topics: map[Topic]*topicCopy{}, changed: make(chan struct{})}
 	for _, t := range Topics() {
-		m.topics[t] = &topicCopy{rows: map[string]table.Row{}, lapsed: map[string]lapse{}, removals: map[string]uint64{}}
+		m.topics[t] = &topicCopy{rows: map[string]table.Row{}, lapsed: map[string]lapse{}, removals: map[string]table.Revision{}}
 	}
 	return m
 }
@@ -168,7 +171,7 @@
 }
 
 // Revision returns the revision of a topic's copy, and false if there is no copy.
-func (m *Mirror) Revision(t Topic) (uint64, bool) {
+func (m *Mirror) Revision(t Topic) (table.Revision, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c := m.topics[t]
@@ -177,24 +180,24 @@
 
 // Snapshot returns the copy of a topic with its rows in key order, and false if
 // there is no copy.
-func (m *Mirror) Snapshot(t Topic) (Snapshot, bool) { return m.SnapshotSince(t, 0) }
+func (m *Mirror) Snapshot(t Topic) (Snapshot, bool) { return m.SnapshotSince(t, table.Revision{}) }
 
 // SnapshotSince is like Snapshot, but has only what changed after a revision, if the
 // mirror knows that.
-func (m *Mirror) SnapshotSince(t Topic, since uint64) (Snapshot, bool) {
+func (m *Mirror) SnapshotSince(t Topic, since table.Revision) (Snapshot, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c := m.topics[t]
 	s := Snapshot{Revision: c.revision, Authoritative: m.authoritative()}
-	if since >= c.removalsSince {
+	if !c.removalsSince.After(since) {
 		s.Since = since
 	}
 	for _, row := range c.rows {
-		if s.Since == 0 || row.Revision > s.Since {
+		if row.After(s.Since) {
 			s.Rows = append(s.Rows, row)
 		}
 	}
-	if s.Since > 0 {
+	if !s.Complete() {
 		s.Removed = c.removedSince(s.Since)
 	}
 	for _, l := range c.lapsed {
@@ -205,10 +208,10 @@
 }
 
 // removedSince returns the keys of the rows that were removed after a revision.
-func (c *topicCopy) removedSince(revision uint64) []string {
+func (c *topicCopy) removedSince(revision table.Revision) []string {
 	var keys []string
 	for key, removedAt := range c.removals {
-		if removedAt > revision {
+		if removedAt.After(revision) {
 			keys = append(keys, key)
 		}
 	}
@@ -222,10 +225,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c := m.topics[t]
-	if c.known && s.Revision <= c.revision || s.Since > 0 && (!c.known || c.revision < s.Since) {
+	if c.known && !s.Revision.After(c.revision) || !s.Complete() && (!c.known || s.Since.After(c.revision)) {
 		return false
 	}
-	if s.Since == 0 {
+	if s.Complete() {
 		// Rows may have come and gone since the copy's revision.
 		c.forgetRemovals(s.Revision)
 	}
@@ -254,7 +257,7 @@
 // missingFrom returns the keys of the copy's rows that a newer snapshot does not have
 // any more.
 func (c *topicCopy) missingFrom(s Snapshot) []string {
-	if s.Since > 0 {
+	if !s.Complete() {
 		return s.Removed
 	}
 	kept := map[string]bool{}
@@ -271,7 +274,7 @@
 }
 
 // recordRemoval remembers a removed key. If there are too many, it forgets them all.
-func (c *topicCopy) recordRemoval(key string, revision uint64) {
+func (c *topicCopy) recordRemoval(key string, revision table.Revision) {
 	if len(c.removals) >= maxRemovals {
 		c.forgetRemovals(revision)
 	}
@@ -280,7 +283,7 @@
 
 // forgetRemovals forgets the removed keys. Snapshots that begin before the revision
 // are complete from then on.
-func (c *topicCopy) forgetRemovals(revision uint64) {
+func (c *topicCopy) forgetRemovals(revision table.Revision) {
 	clear(c.removals)
 	c.removalsSince = revision
 }
@@ -291,7 +294,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c := m.topics[t]
-	if !c.known || d.Revision <= c.revision {
+	if !c.known || !d.Revision.After(c.revision) {
 		return false
 	}
 	for _, row := range d.Changed {
@@ -310,7 +313,7 @@
 
 // putRow stores a row unless the copy has a newer one. The row is no longer lapsed.
 func (c *topicCopy) putRow(row table.Row) {
-	if row.Revision >= c.rows[row.Key].Revision {
+	if !c.rows[row.Key].After(row.Revision) {
 		c.rows[row.Key] = row
 		delete(c.lapsed, row.Key)
 		delete(c.removals, row.Key)
--- a/internal/version/mirror/mirror_test.go
+++ b/internal/version/mirror/mirror_test.go
@@ -28,6 +28,9 @@
 	RunSpecs(t, "mirror")
 }
 
+// at returns a revision of a store that never came back from a copy.
+func at(number uint64) table.Revision { return table.Revision{Number: number} }
+
 // grace is the grace period of a lapsed row with a margin for one sweep.
 const grace = 2300 * time.Millisecond
 
@@ -80,7 +83,7 @@
 	// lastFailure is the latest time at which the last call of any mirror had failed.
 	lastFailure time.Time
 	// revisions are the revisions of the mirrors at the last check.
-	revisions [processes]uint64
+	revisions [processes]table.Revision
 	// violation describes the last violation found.
 	violation string
 }
@@ -137,7 +140,7 @@
 	next := maps.Clone(s.states[len(s.states)-1])
 	revision := uint64(len(s.states))
 	if present {
-		next[key] = table.Row{Key: key, Value: fmt.Append(nil, revision), Revision: revision}
+		next[key] = table.Row{Key: key, Value: fmt.Append(nil, revision), Revision: at(revision)}
 	} else {
 		delete(next, key)
 	}
@@ -156,16 +159,16 @@
 	since, known := m.Revision(mirror.Endpoints)
 	m.RecordSuccess()
 	if e.kind == readTable || !known {
-		m.Replace(mirror.Endpoints, mirror.Snapshot{Rows: rowsOf(current), Revision: latest})
+		m.Replace(mirror.Endpoints, mirror.Snapshot{Rows: rowsOf(current), Revision: at(latest)})
 		return
 	}
-	d := mirror.Delta{Revision: latest}
+	d := mirror.Delta{Revision: at(latest)}
 	for _, row := range current {
-		if row.Revision > since {
+		if row.After(since) {
 			d.Changed = append(d.Changed, row)
 		}
 	}
-	for revision := since; revision < latest; revision++ {
+	for revision := since.Number; revision < latest; revision++ {
 		for key := range s.states[revision] {
 			if _, ok := current[key]; !ok {
 				d.Removed = append(d.Removed, key)
@@ -189,17 +192,17 @@
 	if !known {
 		return
 	}
-	if snapshot.Revision < s.revisions[i] {
-		s.violation = fmt.Sprintf("process %d went back from revision %d to %d", i, s.revisions[i], snapshot.Revision)
+	if s.revisions[i].After(snapshot.Revision) {
+		s.violation = fmt.Sprintf("process %d went back from revision %v to %v", i, s.revisions[i], snapshot.Revision)
 	}
 	s.revisions[i] = snapshot.Revision
-	state := s.states[snapshot.Revision]
+	state := s.states[snapshot.Revision.Number]
 	if len(snapshot.Rows) != len(state) {
-		s.violation = fmt.Sprintf("process %d has %d rows at revision %d, the store had %d", i, len(snapshot.Rows), snapshot.Revision, len(state))
+		s.violation = fmt.Sprintf("process %d has %d rows at revision %d, the store had %d", i, len(snapshot.Rows), snapshot.Revision.Number, len(state))
 	}
 	for _, row := range snapshot.Rows {
 		if string(state[row.Key].Value) != string(row.Value) {
-			s.violation = fmt.Sprintf("process %d has another value of %s at revision %d than the store", i, row.Key, snapshot.Revision)
+			s.violation = fmt.Sprintf("process %d has another value of %s at revision %d than the store", i, row.Key, snapshot.Revision.Number)
 		}
 	}
 	if len(snapshot.Lapsed) > 0 && time.Since(s.lastFailure) > grace {
@@ -221,13 +224,13 @@
 
 	It("copy only what changed", func() {
 		source, target := mirror.NewMirror(), mirror.NewMirror()
-		rows := []table.Row{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}, {Key: "c", Revision: 3}}
-		source.Replace(mirror.Endpoints, mirror.Snapshot{Rows: rows, Revision: 3})
-		complete, _ := source.SnapshotSince(mirror.Endpoints, 0)
+		rows := []table.Row{{Key: "a", Revision: at(1)}, {Key: "b", Revision: at(2)}, {Key: "c", Revision: at(3)}}
+		source.Replace(mirror.Endpoints, mirror.Snapshot{Rows: rows, Revision: at(3)})
+		complete, _ := source.SnapshotSince(mirror.Endpoints, at(0))
 		target.Replace(mirror.Endpoints, complete)
-		source.Apply(mirror.Endpoints, mirror.Delta{Changed: []table.Row{{Key: "b", Revision: 4}}, Removed: []string{"c"}, Revision: 5})
-		changes, _ := source.SnapshotSince(mirror.Endpoints, 3)
-		Expect(changes.Rows).To(Equal([]table.Row{{Key: "b", Revision: 4}}))
+		source.Apply(mirror.Endpoints, mirror.Delta{Changed: []table.Row{{Key: "b", Revision: at(4)}}, Removed: []string{"c"}, Revision: at(5)})
+		changes, _ := source.SnapshotSince(mirror.Endpoints, at(3))
+		Expect(changes.Rows).To(Equal([]table.Row{{Key: "b", Revision: at(4)}}))
 		Expect(changes.Removed).To(Equal([]string{"c"}))
 		Expect(target.Replace(mirror.Endpoints, changes)).To(BeTrue())
 		copied, _ := target.Snapshot(mirror.Endpoints)
@@ -237,8 +240,8 @@
 
 	It("send a complete table where removals are not known", func() {
 		source := mirror.NewMirror()
-		source.Replace(mirror.Endpoints, mirror.Snapshot{Rows: []table.Row{{Key: "a", Revision: 1}}, Revision: 9})
-		snapshot, _ := source.SnapshotSince(mirror.Endpoints, 8)
+		source.Replace(mirror.Endpoints, mirror.Snapshot{Rows: []table.Row{{Key: "a", Revision: at(1)}}, Revision: at(9)})
+		snapshot, _ := source.SnapshotSince(mirror.Endpoints, at(8))
 		Expect(snapshot.Since).To(BeZero())
 		Expect(snapshot.Rows).To(HaveLen(1))
 	})
@@ -247,11 +250,11 @@
 		synctest.Test(suite, func(*testing.T) {
 			m := mirror.NewMirror()
 			m.RecordSuccess()
-			m.Replace(mirror.Endpoints, mirror.Snapshot{Rows: []table.Row{{Key: "e", Revision: 1}}, Revision: 1})
+			m.Replace(mirror.Endpoints, mirror.Snapshot{Rows: []table.Row{{Key: "e", Revision: at(1)}}, Revision: at(1)})
 			time.Sleep(grace)
 			m.RecordFailure()
 			m.RecordPause()
-			m.Replace(mirror.Endpoints, mirror.Snapshot{Revision: 2})
+			m.Replace(mirror.Endpoints, mirror.Snapshot{Revision: at(2)})
 			snapshot, _ := m.Snapshot(mirror.Endpoints)
 			Expect(snapshot.Lapsed).To(HaveLen(1))
 			time.Sleep(grace)
@@ -264,11 +267,11 @@
 	It("do not lengthen each other's grace period of a lapsed row", func() {
 		synctest.Test(suite, func(*testing.T) {
 			one, two := mirror.NewMirror(), mirror.NewMirror()
-			row := table.Row{Key: "e", Revision: 1}
-			one.Replace(mirror.Endpoints, mirror.Snapshot{Rows: []table.Row{row}, Revision: 1})
+			row := table.Row{Key: "e", Revision: at(1)}
+			one.Replace(mirror.Endpoints, mirror.Snapshot{Rows: []table.Row{row}, Revision: at(1)})
 			one.RecordFailure()
 			one.RecordSuccess()
-			one.Apply(mirror.Endpoints, mirror.Delta{Removed: []string{"e"}, Revision: 2})
+			one.Apply(mirror.Endpoints, mirror.Delta{Removed: []string{"e"}, Revision: at(2)})
 			time.Sleep(2 * time.Second)
 			snapshot, _ := one.Snapshot(mirror.Endpoints)
 			two.Replace(mirror.Endpoints, snapshot)
@@ -283,14 +286,14 @@
 	It("remove a row at once if a mirror that never lost the store has removed it", func() {
 		synctest.Test(suite, func(*testing.T) {
 			connected, disconnected := mirror.NewMirror(), mirror.NewMirror()
-			row := table.Row{Key: "e", Revision: 1}
+			row := table.Row{Key: "e", Revision: at(1)}
 			for _, m := range []*mirror.Mirror{connected, disconnected} {
 				m.RecordSuccess()
-				m.Replace(mirror.Endpoints, mirror.Snapshot{Rows: []table.Row{row}, Revision: 1})
+				m.Replace(mirror.Endpoints, mirror.Snapshot{Rows: []table.Row{row}, Revision: at(1)})
 			}
 			time.Sleep(grace)
 			disconnected.RecordFailure()
-			connected.Apply(mirror.Endpoints, mirror.Delta{Removed: []string{"e"}, Revision: 2})
+			connected.Apply(mirror.Endpoints, mirror.Delta{Removed: []string{"e"}, Revision: at(2)})
 			snapshot, _ := connected.Snapshot(mirror.Endpoints)
 			disconnected.Replace(mirror.Endpoints, snapshot)
 			remaining, _ := disconnected.Snapshot(mirror.Endpoints)
--- a/internal/version/roster/roster.go
+++ b/internal/version/roster/roster.go
@@ -5,6 +5,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/cicadareel/cicadareel/internal/table"
 )
 
 // Endpoint is one incarnation of an endpoint.
@@ -26,7 +28,7 @@
 	// Membership is nil for an endpoint outside lock-step groups.
 	Membership *Membership
 	// Revision is the revision of the announcement.
-	Revision uint64
+	Revision table.Revision
 }
 
 // Membership is a rank's membership in a lock-step group.
