--- a/internal/connection/store/follower.go
+++ b/internal/connection/store/follower.go
@@ -144,10 +144,15 @@
 	ctx, cancel := context.WithTimeout(ctx, longPollWait+longPollMargin)
 	defer cancel()
 	d, err := w.feed.Watch(ctx, t, since, longPollWait)
-	if err == nil {
-		w.mirror.Apply(t, d)
+	if err != nil {
+		return err
+	}
+	if d.Revision.Era != since.Era {
+		// In another era, since is another state.
+		return &HistoryLostError{Since: since, Era: d.Revision.Era}
 	}
-	return err
+	w.mirror.Apply(t, d)
+	return nil
 }
 
 // logRestore logs if a snapshot read from the store belongs to a later era than the
--- a/internal/process/entry/restore_test.go
+++ b/internal/process/entry/restore_test.go
@@ -90,6 +90,26 @@
 		})
 	})
 
+	It("hides no change whose revision an entry had from before", func() {
+		withPair(func() {
+			before := d.store.Copy()
+			for range 3 {
+				d.store.Put("op", "unrelated", struct{}{})
+			}
+			time.Sleep(time.Second)
+			d.store.SetFaults(standin.StoreFaults{Status: http.StatusServiceUnavailable})
+			d.store.Restore(before)
+			d.configure(withoutBooking)
+			for range 5 {
+				d.store.Put("op", "unrelated", struct{}{})
+			}
+			time.Sleep(time.Second)
+			d.store.SetFaults(standin.StoreFaults{Delay: storeDelay})
+			time.Sleep(restoreReaction)
+			Expect(status(e, "/book/x")).To(Equal(http.StatusNotFound))
+		})
+	})
+
 	It("is followed by an entry that was cut off meanwhile and has a higher revision", func() {
 		withPair(func() {
 			late := d.startEntry("b")
