Pause between rereads that do not end the loss of history

Callers saw nothing of it, but the calls of all entries share a limit.

Cause: a reread after a lost history is followed by the next feed at once, also when the feed failed in the same way after the last reread. Class: a retry that assumes that its remedy works.

Looked for elsewhere: the lease waits between attempts, the poller of the product's own mode polls at intervals.

--- a/internal/connection/store/follower.go
+++ b/internal/connection/store/follower.go
@@ -90,7 +90,8 @@
 // reads the whole table again if the store has lost the history of changes.
 func (w *Follower) followLoop(ctx context.Context, t mirror.Topic) {
 	backoff := minBackoff
-	fullRead := true
+	// rereads counts the reads of the whole table since the last successful watch.
+	fullRead, rereads := true, 0
 	for ctx.Err() == nil {
 		if !w.shouldFollow() {
 			w.mirror.RecordPause()
@@ -101,7 +102,10 @@
 		var lost *HistoryLostError
 		switch {
 		case err == nil:
-			fullRead, backoff = false, minBackoff
+			if !fullRead {
+				rereads, backoff = 0, minBackoff
+			}
+			fullRead = false
 			w.recordSuccess()
 			if t == mirror.Endpoints {
 				pause(ctx, batchPause)
@@ -109,10 +113,14 @@
 			continue
 		case errors.As(err, &lost):
 			fullRead = true
-			w.log.Warn(events.HistoryLost, events.Fields{"topic": t, "revision": lost.Since.Number, "era": lost.Since.Era, "storeEra": lost.Era})
-			continue
+			rereads++
+			w.log.Warn(events.HistoryLost, events.Fields{"topic": t, "revision": lost.Since.Number, "era": lost.Since.Era, "storeEra": lost.Era, "rereads": rereads})
+			if rereads == 1 {
+				continue
+			}
+		default:
+			w.recordFailure(ctx, t, err)
 		}
-		w.recordFailure(ctx, t, err)
 		pause(ctx, backoff)
 		backoff = min(2*backoff, maxBackoff)
 	}
--- a/internal/process/entry/intent_test.go
+++ b/internal/process/entry/intent_test.go
@@ -183,6 +183,18 @@
 		})
 	})
 
+	It("is read a few times a second only from a store that keeps no history", func() {
+		withPair(func() {
+			d.store.SetFaults(standin.StoreFaults{Delay: storeDelay, LoseHistory: true})
+			before := d.store.Calls()
+			time.Sleep(10 * time.Second)
+			Expect(d.store.Calls() - before).To(BeNumerically("<", 150))
+			d.configure(withoutBooking)
+			time.Sleep(time.Second)
+			Expect(status("/book/x")).To(Equal(http.StatusNotFound))
+		})
+	})
+
 	It("stays in force while the store is down, and is updated afterwards", func() {
 		withPair(func() {
 			d.store.SetFaults(standin.StoreFaults{Status: http.StatusServiceUnavailable})
--- a/internal/standin/rowstore.go
+++ b/internal/standin/rowstore.go
@@ -34,6 +34,8 @@
 	Delay time.Duration
 	// LoseWrites commits transactions but sends no response.
 	LoseWrites bool
+	// LoseHistory responds with status 410 to every feed.
+	LoseHistory bool
 }
 
 // RowStore stands in for the store of the users' platform. It has rows with revisions,
@@ -231,7 +233,7 @@
 	for {
 		s.mu.Lock()
 		changed, faults := s.changed, s.faults
-		dropped := since < s.historyStart || since > s.revision
+		dropped := faults.LoseHistory || since < s.historyStart || since > s.revision
 		found := s.changesSince(q, since)
 		revision := s.revision
 		s.mu.Unlock()
