Issue no fencing token twice after the store came back from a copy

At fence 78 two acquisitions had the same tokens, so that orders of one would have passed for the other's.

Cause: fencing tokens and the versions of maps derive from the revision of the lease's row, which the restored store issues again.

Change: a token is built from the era first, then the revision, then the count; acquisitions are told apart by era and revision, so controllers of groups restart after each. A holder whose claim is in the copy goes on with its tokens; any later acquisition has higher ones. A late write of the lease whose condition holds again in the new era makes its writer the holder at most, with tokens of that revision.

Ruled out: a counter in the lease's row, which the restore sets back as well; asking ranks for the highest token, which their protocol doesn't tell.

--- a/internal/connection/store/lease.go
+++ b/internal/connection/store/lease.go
@@ -29,6 +29,9 @@
 	// tokensPerLease is the number of fencing tokens that one acquisition of the
 	// lease can issue.
 	tokensPerLease = 1 << 20
+	// tokensPerEra is the number of fencing tokens that the revisions of one era of the
+	// store can issue.
+	tokensPerEra = tokensPerLease << 32
 )
 
 // LeaseStore reads and writes the rows of leases, one for each lease.
@@ -49,7 +52,8 @@
 
 // Lease tries to acquire a lease and renews it while held. Its fencing tokens are
 // higher than those of every earlier holder, since they derive from the row's
-// revision at the time of the acquisition.
+// revision at the time of the acquisition, with the era of the store first: a store
+// that comes back from a copy issues its revisions again.
 type Lease struct {
 	rows   LeaseStore
 	name   string
@@ -66,9 +70,9 @@
 	// claim is the id of this process's current acquisition or attempt; empty if
 	// there is none.
 	claim string
-	// acquiredRevision is the row's revision at the acquisition; 0 if the lease is
+	// acquiredRevision is the row's revision at the acquisition; zero if the lease is
 	// not held.
-	acquiredRevision uint64
+	acquiredRevision table.Revision
 	// issuedTokens counts the fencing tokens issued since the acquisition.
 	issuedTokens uint64
 	// row is the last version of the row known, and rowSeen when this process first
@@ -92,24 +96,27 @@
 // Wait returns after the goroutine has ended.
 func (k *Lease) Wait() { k.done.Wait() }
 
-// Held reports whether this process holds the lease. The number is the row's
-// revision at the acquisition, which differs between acquisitions.
-func (k *Lease) Held() (uint64, bool) {
+// Held reports whether this process holds the lease. The revision is the row's at the
+// acquisition, which differs between acquisitions.
+func (k *Lease) Held() (table.Revision, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.acquiredRevision, k.acquiredRevision > 0
+	return k.acquiredRevision, k.held()
 }
 
+// held reports whether this process holds the lease. The caller must hold mu.
+func (k *Lease) held() bool { return k.acquiredRevision != table.Revision{} }
+
 // NextFencingToken returns a fencing token that is higher than all earlier ones,
 // or 0 if the lease is not held.
 func (k *Lease) NextFencingToken() uint64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.acquiredRevision == 0 {
+	if !k.held() {
 		return 0
 	}
 	k.issuedTokens++
-	return k.acquiredRevision*tokensPerLease + k.issuedTokens
+	return k.acquiredRevision.Era*tokensPerEra + k.acquiredRevision.Number*tokensPerLease + k.issuedTokens
 }
 
 // IsCandidate reports whether this process tries to acquire the lease.
@@ -132,10 +139,10 @@
 func (k *Lease) MarkLost(reason string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.acquiredRevision == 0 {
+	if !k.held() {
 		return
 	}
-	k.acquiredRevision, k.claim = 0, ""
+	k.acquiredRevision, k.claim = table.Revision{}, ""
 	k.log.Info(events.MapLeaseLost, events.Fields{"reason": reason})
 }
 
@@ -206,19 +213,19 @@
 		k.otherClaim, k.otherSince = record.Claim, time.Now()
 	}
 	switch {
-	case own && k.acquiredRevision == 0:
-		k.setHeld(row.Number)
-	case !own && k.acquiredRevision > 0:
-		k.acquiredRevision, k.claim = 0, ""
-		k.log.Info(events.MapLeaseLost, events.Fields{"reason": "held by " + record.Holder, "revision": row.Number})
+	case own && !k.held():
+		k.setHeld(row.Revision)
+	case !own && k.held():
+		k.acquiredRevision, k.claim = table.Revision{}, ""
+		k.log.Info(events.MapLeaseLost, events.Fields{"reason": "held by " + record.Holder, "revision": row.Number, "era": row.Era})
 	}
 	return own
 }
 
 // setHeld records that the lease was acquired. The caller must hold mu.
-func (k *Lease) setHeld(revision uint64) {
+func (k *Lease) setHeld(revision table.Revision) {
 	k.acquiredRevision, k.issuedTokens = revision, 0
-	k.log.Info(events.MapLeaseAcquired, events.Fields{"fence": revision})
+	k.log.Info(events.MapLeaseAcquired, events.Fields{"fence": revision.Number, "era": revision.Era})
 }
 
 // mayTakeOver reports whether the holder has held the lease for takeOverGrace.
@@ -255,8 +262,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.row, k.rowSeen = result.Row, time.Now()
-	if k.acquiredRevision == 0 {
-		k.setHeld(result.Row.Number)
+	if !k.held() {
+		k.setHeld(result.Row.Revision)
 	}
 	return true
 }
--- a/internal/process/entry/mapcontroller.go
+++ b/internal/process/entry/mapcontroller.go
@@ -10,6 +10,7 @@
 
 	"github.com/cicadareel/cicadareel/internal/connection/store"
 	"github.com/cicadareel/cicadareel/internal/events"
+	"github.com/cicadareel/cicadareel/internal/table"
 	"github.com/cicadareel/cicadareel/internal/version/expertswitch"
 )
 
@@ -48,7 +49,10 @@
 
 // epochUnderLease is an epoch of a group and the acquisition of the lease in which
 // the group was controlled.
-type epochUnderLease struct{ epoch, acquisition uint64 }
+type epochUnderLease struct {
+	epoch       uint64
+	acquisition table.Revision
+}
 
 func newMapController(ctx context.Context, f *directFleet, lease *store.Lease, p *expertswitch.Pacer, l *events.Log) *mapController {
 	m := &mapController{fleet: f, lease: lease, pacer: p, log: l, estimates: map[string]*popularityEstimate{}, lastEpochs: map[string]epochUnderLease{}}
@@ -100,12 +104,12 @@
 
 // controllerKey returns a key that changes whenever the controller of a group must
 // be restarted.
-func controllerKey(g groupSnapshot, acquisition uint64) string {
+func controllerKey(g groupSnapshot, acquisition table.Revision) string {
 	names := make([]string, len(g.ranks))
 	for i, r := range g.ranks {
 		names[i] = r.Name()
 	}
-	return fmt.Sprintf("%s %d %d %s", g.name, g.epoch, acquisition, strings.Join(names, " "))
+	return fmt.Sprintf("%s %d %v %s", g.name, g.epoch, acquisition, strings.Join(names, " "))
 }
 
 // controlGroup samples, plans and switches one group in one epoch until ctx ends.
--- a/internal/process/entry/maps_test.go
+++ b/internal/process/entry/maps_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cicadareel/cicadareel/internal/standin"
+	"github.com/cicadareel/cicadareel/internal/table"
 )
 
 const (
@@ -257,7 +258,7 @@
 			d.ranks.Fenced = true
 			// Recoveries take longer than the entries' checks are apart.
 			d.ranks.SetFaults(standin.RankFaults{Lose: 0.6})
-			acquisitions := map[uint64]bool{}
+			acquisitions := map[table.Revision]bool{}
 			for range 400 {
 				time.Sleep(10 * time.Millisecond)
 				for _, e := range d.entries {
