Do not take rows of the store's copy for newer than what was known

What callers would see while the writers have not written again what was lost: requests to endpoints that drain or have left (DRAIN), to failure domains that operators hold (EVAC), none to new endpoints or to domains that were released, and an older configuration at entries that start.

Cause: once the restored store is followed, its rows replace all that entries had, though the copy is older than that. Class: absence and presence in a reread are taken for removals and additions.

Change, in version/mirror: across eras - a row whose writer wrote it before the known one keeps the known value. Writers tell the order themselves: configurations by their version, endpoints by start, count of announcements and state. platform/ decodes that (WrittenBefore); the mirror decides. - a row that the copy lacks stays for 10 s, an endpoint's for the 2.2 s that lapsed rows have. - a row that had been removed is withheld for 10 s, unless it was written anew. Its store removes rows of endpoints that are gone within three heartbeats. After that the store's word counts. Withheld rows are exchanged like lapsed ones. A copy counts as authoritative only once these times are over.

Ruled out: waiting until the first revision after the restore is seen, since rows may have been written again before the first read; keeping all known rows forever, which would hold a domain that nobody holds; asking endpoints, which do not answer for operators.

--- a/internal/connection/peer/tablegossip.go
+++ b/internal/connection/peer/tablegossip.go
@@ -288,11 +288,14 @@
 	}
 	for _, r := range c.GetRows() {
 		row := table.Row{Key: r.GetKey(), Value: r.GetValue(), Revision: table.Revision{Era: r.GetEra(), Number: r.GetRevision()}}
-		if r.GetLapsedFor() != nil {
-			snapshot.Lapsed = append(snapshot.Lapsed, mirror.LapsedRow{Row: row, Remaining: r.GetLapsedFor().AsDuration()})
-			continue
+		switch {
+		case r.GetLapsedFor() != nil:
+			snapshot.Lapsed = append(snapshot.Lapsed, mirror.TimedRow{Row: row, Remaining: r.GetLapsedFor().AsDuration()})
+		case r.GetWithheldFor() != nil:
+			snapshot.Withheld = append(snapshot.Withheld, mirror.TimedRow{Row: row, Remaining: r.GetWithheldFor().AsDuration()})
+		default:
+			snapshot.Rows = append(snapshot.Rows, row)
 		}
-		snapshot.Rows = append(snapshot.Rows, row)
 	}
 	g.mirror.Replace(mirror.Topic(c.GetTopic()), snapshot)
 }
@@ -364,14 +367,25 @@
 	snapshot, _ := g.mirror.SnapshotSince(t, since)
 	message := &wire.TableCopy{Topic: string(t), Era: snapshot.Revision.Era, Revision: snapshot.Revision.Number, Settled: snapshot.Authoritative, Since: snapshot.Since.Number, Removed: snapshot.Removed}
 	for _, r := range snapshot.Rows {
-		message.Rows = append(message.Rows, &wire.TableRow{Key: r.Key, Value: r.Value, Era: r.Era, Revision: r.Number})
+		message.Rows = append(message.Rows, rowMessage(r))
 	}
 	for _, l := range snapshot.Lapsed {
-		message.Rows = append(message.Rows, &wire.TableRow{Key: l.Row.Key, Value: l.Row.Value, Era: l.Row.Era, Revision: l.Row.Number, LapsedFor: DurationToWire(l.Remaining)})
+		row := rowMessage(l.Row)
+		row.LapsedFor = DurationToWire(l.Remaining)
+		message.Rows = append(message.Rows, row)
+	}
+	for _, w := range snapshot.Withheld {
+		row := rowMessage(w.Row)
+		row.WithheldFor = DurationToWire(w.Remaining)
+		message.Rows = append(message.Rows, row)
 	}
 	return message
 }
 
+func rowMessage(r table.Row) *wire.TableRow {
+	return &wire.TableRow{Key: r.Key, Value: r.Value, Era: r.Era, Revision: r.Number}
+}
+
 // selfInfo returns what this process announces of itself.
 func (g *TableGossip) selfInfo() *wire.PeerInfo {
 	return &wire.PeerInfo{
--- a/internal/process/entry/directendpoint.go
+++ b/internal/process/entry/directendpoint.go
@@ -55,7 +55,7 @@
 
 // update applies the latest announcement.
 func (e *directEndpoint) update(info roster.Endpoint) {
-	changed := info.Revision != e.info.Revision || !e.member.HasLimit()
+	changed := !e.isSameAnnouncement(info) || !e.member.HasLimit()
 	if !e.member.HasLimit() {
 		e.member.MarkUp()
 	}
@@ -69,6 +69,15 @@
 	}
 }
 
+// isSameAnnouncement reports whether an announcement is the one applied last. A store that
+// came back from a copy has it at another revision.
+func (e *directEndpoint) isSameAnnouncement(info roster.Endpoint) bool {
+	if info.Revision.Era == e.info.Revision.Era {
+		return info.Revision == e.info.Revision
+	}
+	return info.ColdFor == e.info.ColdFor
+}
+
 // limitWhileCold limits the requests to an endpoint that announces itself as cold.
 func (e *directEndpoint) limitWhileCold(info roster.Endpoint) {
 	if share, limited := e.fleet.coldShare(info); limited && info.ColdFor > 0 {
--- a/internal/process/entry/directfleet.go
+++ b/internal/process/entry/directfleet.go
@@ -115,7 +115,7 @@
 
 func (f *directFleet) applyIntent(s mirror.Snapshot) {
 	held := map[string]bool{}
-	for _, row := range s.Rows {
+	for _, row := range s.All() {
 		if domain, ok := platform.HeldDomain(row); ok {
 			held[domain] = true
 		}
--- a/internal/process/entry/storeenvironment.go
+++ b/internal/process/entry/storeenvironment.go
@@ -55,7 +55,7 @@
 	}
 	limitMemory(s)
 	log := events.NewLog(s.LogLevel, s.Instance)
-	tableMirror := mirror.NewMirror()
+	tableMirror := mirror.NewMirror(platform.WrittenBefore)
 	tracker := slowness.NewTracker()
 	client := platform.NewStore(s.Deployment.StoreAddress, n.dial)
 	budgets := retry.NewBudgets(retry.SharedConfig(s.Deployment.RetryRatio, s.Deployment.RetrySlack, s.Deployment.RetryWindow(), defaultEntryCount))
--- a/internal/version/mirror/mirror.go
+++ b/internal/version/mirror/mirror.go
@@ -37,17 +37,20 @@
 	// Removed are the keys of rows removed after Since; empty in a complete table.
 	Removed []string
 	// Lapsed are removed rows that remain in use for a grace period.
-	Lapsed   []LapsedRow
+	Lapsed []TimedRow
+	// Withheld are rows that are not in use for a while, since they had been removed
+	// before the store came back from a copy.
+	Withheld []TimedRow
 	Revision table.Revision
 	// Authoritative is true if the process that read the table has reached the store
 	// for so long that no row is missing because of an outage.
 	Authoritative bool
 }
 
-// LapsedRow is a removed row in its grace period.
-type LapsedRow struct {
+// TimedRow is a row whose state ends after some time.
+type TimedRow struct {
 	Row table.Row
-	// Remaining is the rest of the grace period.
+	// Remaining is the rest of that time.
 	Remaining time.Duration
 }
 
@@ -88,22 +91,31 @@
 	rows     map[string]table.Row
 	// lapsed has rows that were removed while the store was unreachable or shortly
 	// after.
-	lapsed map[string]lapse
+	lapsed map[string]timed
 	// removals holds the keys of removed rows with the revision of the copy at their
 	// removal, if that is later than removalsSince.
 	removals      map[string]table.Revision
 	removalsSince table.Revision
+	// restoredAt is when the copy first belonged to the present era, if it belonged to
+	// an earlier one before.
+	restoredAt time.Time
+	// removedRows has the last content of removed rows.
+	removedRows map[string]table.Row
+	// withheld has rows that came back with a copy of the store.
+	withheld map[string]timed
 }
 
-// lapse is a lapsed row with the end of its grace period, which a later outage
-// extends.
-type lapse struct {
+// timed is a row with the end of its state. A later outage extends the grace period of
+// a lapsed row.
+type timed struct {
 	row   table.Row
 	until time.Time
 }
 
 // Mirror holds the copies of all topics. It is safe for concurrent use.
 type Mirror struct {
+	writeOrder WriteOrder
+
 	mu     sync.Mutex
 	topics map[Topic]*topicCopy
 	// reachableSince is the time of the first successful call to the store since the
@@ -118,10 +130,13 @@
 }
 
 // NewMirror returns a mirror without copies.
-func NewMirror() *Mirror {
-	m := &Mirror{topics: map[Topic]*topicCopy{}, changed: make(chan struct{})}
+func NewMirror(o WriteOrder) *Mirror {
+	m := &Mirror{writeOrder: o, topics: map[Topic]*topicCopy{}, changed: make(chan struct{})}
 	for _, t := range Topics() {
-		m.topics[t] = &topicCopy{rows: map[string]table.Row{}, lapsed: map[string]lapse{}, removals: map[string]table.Revision{}}
+		m.topics[t] = &topicCopy{
+			rows: map[string]table.Row{}, lapsed: map[string]timed{}, removals: map[string]table.Revision{},
+			removedRows: map[string]table.Row{}, withheld: map[string]timed{},
+		}
 	}
 	return m
 }
@@ -158,9 +173,10 @@
 }
 
 // authoritative reports whether this process has reached the store for so long that
-// no row is missing because of an outage.
-func (m *Mirror) authoritative() bool {
-	return !m.lastCallFailed && !m.paused && !m.reachableSince.IsZero() && time.Since(m.reachableSince) > lapseGrace
+// no row of a topic is missing because of an outage or a restore.
+func (m *Mirror) authoritative(t Topic) bool {
+	return !m.lastCallFailed && !m.paused && !m.reachableSince.IsZero() &&
+		time.Since(m.reachableSince) > lapseGrace && time.Since(m.topics[t].restoredAt) > restoreGrace
 }
 
 // LastCallFailed reports whether the last call to the store failed.
@@ -188,7 +204,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c := m.topics[t]
-	s := Snapshot{Revision: c.revision, Authoritative: m.authoritative()}
+	s := Snapshot{Revision: c.revision, Authoritative: m.authoritative(t)}
 	if since.Era == c.revision.Era && !c.removalsSince.After(since) {
 		s.Since = since
 	}
@@ -201,7 +217,10 @@
 		s.Removed = c.removedSince(s.Since)
 	}
 	for _, l := range c.lapsed {
-		s.Lapsed = append(s.Lapsed, LapsedRow{Row: l.row, Remaining: max(0, time.Until(m.graceEnd(l)))})
+		s.Lapsed = append(s.Lapsed, TimedRow{Row: l.row, Remaining: max(0, time.Until(m.graceEnd(l)))})
+	}
+	for _, w := range c.withheld {
+		s.Withheld = append(s.Withheld, TimedRow{Row: w.row, Remaining: max(0, time.Until(w.until))})
 	}
 	slices.SortFunc(s.Rows, func(a, b table.Row) int { return strings.Compare(a.Key, b.Key) })
 	return s, c.known
@@ -228,27 +247,39 @@
 	if c.known && !s.Revision.After(c.revision) || !s.Complete() && (!c.known || s.Since.After(c.revision)) {
 		return false
 	}
+	restored := c.known && s.Revision.Era > c.revision.Era
+	if restored {
+		m.recordRestore(c)
+	}
 	if s.Complete() {
 		// Rows may have come and gone since the copy's revision.
 		c.forgetRemovals(s.Revision)
 	}
 	if s.Authoritative {
 		clear(c.lapsed)
+		c.useWithheld(time.Now().Add(restoreGrace))
 	}
 	for _, row := range s.Rows {
-		c.putRow(row)
+		if s.Authoritative {
+			delete(c.removedRows, row.Key)
+		}
+		m.putRow(t, row)
 	}
 	for _, key := range c.missingFrom(s) {
 		c.recordRemoval(key, s.Revision)
-		if s.Authoritative {
+		switch {
+		case s.Authoritative:
 			delete(c.rows, key)
-		} else {
+		case restored:
+			c.keepLostRow(t, key)
+		default:
 			m.removeRow(t, key)
 		}
 	}
 	for _, l := range s.Lapsed {
-		c.lapsed[l.Row.Key] = lapse{row: l.Row, until: time.Now().Add(l.Remaining)}
+		c.lapsed[l.Row.Key] = timed{row: l.Row, until: time.Now().Add(l.Remaining)}
 	}
+	c.applyWithheld(s)
 	c.known, c.revision = true, s.Revision
 	m.notify()
 	return true
@@ -298,7 +329,7 @@
 		return false
 	}
 	for _, row := range d.Changed {
-		c.putRow(row)
+		m.putRow(t, row)
 	}
 	for _, key := range d.Removed {
 		c.recordRemoval(key, d.Revision)
@@ -311,18 +342,27 @@
 	return true
 }
 
-// putRow stores a row unless the copy has a newer one. The row is no longer lapsed.
-func (c *topicCopy) putRow(row table.Row) {
-	if !c.rows[row.Key].After(row.Revision) {
-		c.rows[row.Key] = row
-		delete(c.lapsed, row.Key)
-		delete(c.removals, row.Key)
+// putRow stores a row unless the copy has it at this revision or a later one. The row
+// is no longer lapsed.
+func (m *Mirror) putRow(t Topic, row table.Row) {
+	c := m.topics[t]
+	if known, ok := c.rows[row.Key]; ok && !row.After(known.Revision) {
+		return
 	}
+	row, inUse := m.reconcile(t, row)
+	if !inUse {
+		return
+	}
+	c.rows[row.Key] = row
+	delete(c.lapsed, row.Key)
+	delete(c.withheld, row.Key)
+	delete(c.removals, row.Key)
+	delete(c.removedRows, row.Key)
 }
 
 // graceEnd returns the end of a lapsed row's grace period. While the store is
 // unreachable, the period always begins now.
-func (m *Mirror) graceEnd(l lapse) time.Time {
+func (m *Mirror) graceEnd(l timed) time.Time {
 	switch {
 	case m.lastCallFailed:
 		return time.Now().Add(lapseGrace)
@@ -337,7 +377,10 @@
 func (m *Mirror) removeRow(t Topic, key string) {
 	c := m.topics[t]
 	row, ok := c.rows[key]
-	delete(c.rows, key)
+	c.forgetRow(key)
+	if t == Intent {
+		delete(c.lapsed, key)
+	}
 	if !ok || t != Endpoints {
 		return
 	}
@@ -346,7 +389,7 @@
 		recoveredAt = time.Now()
 	}
 	if until := recoveredAt.Add(lapseGrace); time.Now().Before(until) {
-		c.lapsed[key] = lapse{row: row, until: until}
+		c.lapsed[key] = timed{row: row, until: until}
 	}
 }
 
@@ -362,6 +405,7 @@
 				swept = true
 			}
 		}
+		swept = c.useWithheld(time.Now()) || swept
 	}
 	if swept {
 		m.notify()
