Send nothing to an endpoint whose responses say that it is leaving

The entry read only the row: one that is cut off from the store and from its peers, or whose endpoint never announces that it drains, would go on sending.

A new start of it is a new endpoint.

--- a/internal/connection/endpoint/direct.go
+++ b/internal/connection/endpoint/direct.go
@@ -72,10 +72,14 @@
 	// RequestLimit returns the requests per second that the endpoint takes from all
 	// processes together, or 0 if a response with the header fields names no limit.
 	RequestLimit(h http.Header) (float64, error)
+	// Leaving reports whether a response with the header fields says that the endpoint
+	// takes no new requests any more.
+	Leaving(h http.Header) bool
 }
 
 // Observation is what an attempt showed about its endpoint: Served, Shed,
-// BrokenOff, ServerError, ConnectFailed, Replaced, LimitNamed or LimitInvalid.
+// BrokenOff, ServerError, ConnectFailed, Replaced, LimitNamed, LimitInvalid or
+// SaysLeaving.
 type Observation interface{ isObservation() }
 
 // Served means that the endpoint sent a complete response other than a
@@ -107,6 +111,9 @@
 // LimitInvalid means that the limit in the head of a response cannot be read.
 type LimitInvalid struct{ Cause error }
 
+// SaysLeaving means that the head of a response said that the endpoint is leaving.
+type SaysLeaving struct{}
+
 func (Served) isObservation()        {}
 func (Shed) isObservation()          {}
 func (BrokenOff) isObservation()     {}
@@ -115,6 +122,7 @@
 func (Replaced) isObservation()      {}
 func (LimitNamed) isObservation()    {}
 func (LimitInvalid) isObservation()  {}
+func (SaysLeaving) isObservation()   {}
 
 // Observer is notified of what an attempt showed. It must not block.
 type Observer interface{ Observe(o Observation) }
@@ -204,10 +212,10 @@
 func (x *exchange) classify(resp *http.Response) {
 	switch x.direct.dialect.Classify(&x.attempt, resp.StatusCode, resp.Header).(type) {
 	case Trusted:
-		x.observeLimit(resp.Header)
+		x.observeState(resp.Header)
 		x.acceptResponse(resp)
 	case NotExecuted:
-		x.observeLimit(resp.Header)
+		x.observeState(resp.Header)
 		x.finish(Shed{}, transport.Refused{Reason: outcome.Shed})
 	case Misdirected:
 		x.finish(Replaced{}, transport.Refused{Reason: outcome.EndpointReplaced})
@@ -216,8 +224,11 @@
 	}
 }
 
-// observeLimit notifies the observer of the limit that a response names.
-func (x *exchange) observeLimit(h http.Header) {
+// observeState notifies the observer of what a response says of the endpoint's state.
+func (x *exchange) observeState(h http.Header) {
+	if x.direct.dialect.Leaving(h) {
+		x.direct.observer.Observe(SaysLeaving{})
+	}
 	perSecond, err := x.direct.dialect.RequestLimit(h)
 	if err != nil {
 		x.direct.observer.Observe(LimitInvalid{Cause: err})
--- a/internal/connection/endpoint/endless_test.go
+++ b/internal/connection/endpoint/endless_test.go
@@ -79,6 +79,7 @@
 	return endpoint.Trusted{}
 }
 
+func (trustAll) Leaving(http.Header) bool                  { return false }
 func (trustAll) RequestLimit(http.Header) (float64, error) { return 0, nil }
 
 // lastObservation records what the last attempt showed.
--- a/internal/process/entry/directendpoint.go
+++ b/internal/process/entry/directendpoint.go
@@ -32,6 +32,9 @@
 	// replaced is true once another endpoint answered at the address.
 	replaced bool
 	retired  bool
+	// leaving is true once a response said that the endpoint is leaving. That holds for
+	// the incarnation, whatever its row says.
+	leaving bool
 	// invalidLimitLogged is true once an invalid limit was logged.
 	invalidLimitLogged bool
 }
@@ -63,7 +66,9 @@
 		e.fleet.log.Info(events.EndpointRemoved, events.Fields{"endpoint": info.Name, "reason": "leaving", "revision": info.Revision.Number, "era": info.Revision.Era})
 	}
 	e.info = info
-	e.member.ApplyAnnouncement(info.Slots, !info.Leaving)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.member.ApplyAnnouncement(info.Slots, !info.Leaving && !e.leaving)
 	if changed {
 		e.limitWhileCold(info)
 	}
@@ -104,6 +109,8 @@
 		e.fleet.observeLimit(e, o.PerSecond)
 	case endpoint.LimitInvalid:
 		e.logInvalidLimit(o.Cause)
+	case endpoint.SaysLeaving:
+		e.handleLeaving()
 	case endpoint.ConnectFailed:
 		e.eject("no connection")
 	case endpoint.Replaced:
@@ -114,6 +121,19 @@
 	}
 }
 
+// handleLeaving takes the endpoint out of use after its response said that it is
+// leaving.
+func (e *directEndpoint) handleLeaving() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leaving {
+		return
+	}
+	e.leaving = true
+	e.member.Close()
+	e.fleet.log.Info(events.EndpointRemoved, events.Fields{"endpoint": e.member.Name, "reason": "a response says that it is leaving"})
+}
+
 func (e *directEndpoint) logInvalidLimit(cause error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/request/balancer/member.go
+++ b/internal/request/balancer/member.go
@@ -65,6 +65,9 @@
 	m.open.Store(open)
 }
 
+// Close records that the endpoint takes no new work until the next announcement.
+func (m *Member) Close() { m.open.Store(false) }
+
 // othersLifetime is how long counts of the requests of other entries are used.
 const othersLifetime = 2 * time.Second
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -81,6 +81,8 @@
 	runs   []*Run
 	// limit is the request limit that responses name, in requests per second; 0 for none.
 	limit float64
+	// leaving is true if responses say that the endpoint is leaving.
+	leaving bool
 	// misdirected counts the requests for another endpoint.
 	misdirected int
 }
@@ -100,10 +102,20 @@
 	k.limit = perSecond
 }
 
-// nameLimit adds the request limit to a response.
-func (k *Worker) nameLimit(h http.Header) {
+// SetLeaving makes responses say that the endpoint is leaving.
+func (k *Worker) SetLeaving() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.leaving = true
+}
+
+// describeState adds to a response what the endpoint says of itself.
+func (k *Worker) describeState(h http.Header) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.leaving {
+		h.Set("Server-Leaving", "1")
+	}
 	if k.limit > 0 {
 		h.Set("Server-Limit", strconv.FormatFloat(k.limit, 'f', -1, 64))
 	}
@@ -150,7 +162,7 @@
 	}
 	f := k.nextFault()
 	w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
-	k.nameLimit(w.Header())
+	k.describeState(w.Header())
 	if f == Shed {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
