Keep the pauses that endpoints name when they refuse requests

The entry retried elsewhere, but picked the endpoint again for the next request: an endpoint that refuses looks idle.

Change: the dialect decodes the header of refusals, the member is not eligible until the time on the monotonic clock; a later announcement of the row doesn't end it. If all endpoints of a group pause, callers are refused and told to return when the first pause is over: never before it, as their Retry-After varies by a quarter. A value that cannot be read is logged once (223).

--- a/internal/connection/endpoint/direct.go
+++ b/internal/connection/endpoint/direct.go
@@ -75,11 +75,14 @@
 	// Leaving reports whether a response with the header fields says that the endpoint
 	// takes no new requests any more.
 	Leaving(h http.Header) bool
+	// Pause returns how long the endpoint wants no requests from this process; 0 if a
+	// response with the status and header fields does not say.
+	Pause(status int, h http.Header) (time.Duration, error)
 }
 
 // Observation is what an attempt showed about its endpoint: Served, Shed,
-// BrokenOff, ServerError, ConnectFailed, Replaced, LimitNamed, LimitInvalid or
-// SaysLeaving.
+// BrokenOff, ServerError, ConnectFailed, Replaced, LimitNamed, LimitInvalid,
+// SaysLeaving, PauseAsked or PauseInvalid.
 type Observation interface{ isObservation() }
 
 // Served means that the endpoint sent a complete response other than a
@@ -114,6 +117,12 @@
 // SaysLeaving means that the head of a response said that the endpoint is leaving.
 type SaysLeaving struct{}
 
+// PauseAsked means that the endpoint wants no requests from this process for a time.
+type PauseAsked struct{ For time.Duration }
+
+// PauseInvalid means that the pause in the head of a response cannot be read.
+type PauseInvalid struct{ Cause error }
+
 func (Served) isObservation()        {}
 func (Shed) isObservation()          {}
 func (BrokenOff) isObservation()     {}
@@ -123,6 +132,8 @@
 func (LimitNamed) isObservation()    {}
 func (LimitInvalid) isObservation()  {}
 func (SaysLeaving) isObservation()   {}
+func (PauseAsked) isObservation()    {}
+func (PauseInvalid) isObservation()  {}
 
 // Observer is notified of what an attempt showed. It must not block.
 type Observer interface{ Observe(o Observation) }
@@ -212,10 +223,10 @@
 func (x *exchange) classify(resp *http.Response) {
 	switch x.direct.dialect.Classify(&x.attempt, resp.StatusCode, resp.Header).(type) {
 	case Trusted:
-		x.observeState(resp.Header)
+		x.observeState(resp)
 		x.acceptResponse(resp)
 	case NotExecuted:
-		x.observeState(resp.Header)
+		x.observeState(resp)
 		x.finish(Shed{}, transport.Refused{Reason: outcome.Shed})
 	case Misdirected:
 		x.finish(Replaced{}, transport.Refused{Reason: outcome.EndpointReplaced})
@@ -225,7 +236,9 @@
 }
 
 // observeState notifies the observer of what a response says of the endpoint's state.
-func (x *exchange) observeState(h http.Header) {
+func (x *exchange) observeState(resp *http.Response) {
+	h := resp.Header
+	x.observePause(resp.StatusCode, h)
 	if x.direct.dialect.Leaving(h) {
 		x.direct.observer.Observe(SaysLeaving{})
 	}
@@ -237,6 +250,17 @@
 	x.direct.observer.Observe(LimitNamed{PerSecond: perSecond})
 }
 
+// observePause notifies the observer of a pause that the endpoint asks for.
+func (x *exchange) observePause(status int, h http.Header) {
+	pause, err := x.direct.dialect.Pause(status, h)
+	switch {
+	case err != nil:
+		x.direct.observer.Observe(PauseInvalid{Cause: err})
+	case pause > 0:
+		x.direct.observer.Observe(PauseAsked{For: pause})
+	}
+}
+
 // acceptResponse queues the head of an event stream at once. It buffers any
 // other response up to maxBufferedBytes and streams the rest of a longer one. A
 // longer error response counts as broken off.
--- a/internal/connection/endpoint/endless_test.go
+++ b/internal/connection/endpoint/endless_test.go
@@ -79,8 +79,9 @@
 	return endpoint.Trusted{}
 }
 
-func (trustAll) Leaving(http.Header) bool                  { return false }
-func (trustAll) RequestLimit(http.Header) (float64, error) { return 0, nil }
+func (trustAll) Leaving(http.Header) bool                      { return false }
+func (trustAll) Pause(int, http.Header) (time.Duration, error) { return 0, nil }
+func (trustAll) RequestLimit(http.Header) (float64, error)     { return 0, nil }
 
 // lastObservation records what the last attempt showed.
 type lastObservation struct{ observation endpoint.Observation }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -44,6 +44,8 @@
 	EndpointLimitChanged      Event = 219
 	EndpointLimitInvalid      Event = 220
 	StoreRestored             Event = 221
+	EndpointPaused            Event = 222
+	EndpointPauseInvalid      Event = 223
 	SettingsReloaded          Event = 104
 	SettingsRefused           Event = 105
 	RequestOutcomeUnknown     Event = 400
@@ -103,6 +105,8 @@
 	EndpointLimitChanged:      "endpoint named another limit on its requests",
 	EndpointLimitInvalid:      "invalid limit of an endpoint ignored",
 	StoreRestored:             "store came back from a copy",
+	EndpointPaused:            "endpoint wants no requests for a while",
+	EndpointPauseInvalid:      "invalid pause of an endpoint ignored",
 	RequestOutcomeUnknown:     "request outcome unknown",
 	ResponseAborted:           "response to caller aborted",
 	RequestInvalid:            "request invalid",
--- a/internal/process/entry/directendpoint.go
+++ b/internal/process/entry/directendpoint.go
@@ -37,6 +37,8 @@
 	leaving bool
 	// invalidLimitLogged is true once an invalid limit was logged.
 	invalidLimitLogged bool
+	// invalidPauseLogged is true once an invalid pause was logged.
+	invalidPauseLogged bool
 }
 
 func newDirectEndpoint(f *directFleet, info roster.Endpoint) *directEndpoint {
@@ -109,6 +111,10 @@
 		e.fleet.observeLimit(e, o.PerSecond)
 	case endpoint.LimitInvalid:
 		e.logInvalidLimit(o.Cause)
+	case endpoint.PauseAsked:
+		e.pause(o.For)
+	case endpoint.PauseInvalid:
+		e.logInvalidPause(o.Cause)
 	case endpoint.SaysLeaving:
 		e.handleLeaving()
 	case endpoint.ConnectFailed:
@@ -121,6 +127,23 @@
 	}
 }
 
+// pause keeps requests from the endpoint for a time.
+func (e *directEndpoint) pause(d time.Duration) {
+	wasPaused := e.member.PausedFor() > 0
+	if e.member.PauseUntil(time.Now().Add(d)) && !wasPaused {
+		e.fleet.log.Info(events.EndpointPaused, events.Fields{"endpoint": e.member.Name, "pauseMs": d.Milliseconds()})
+	}
+}
+
+func (e *directEndpoint) logInvalidPause(cause error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.invalidPauseLogged {
+		e.invalidPauseLogged = true
+		e.fleet.log.Warn(events.EndpointPauseInvalid, events.Fields{"endpoint": e.member.Name, "error": cause.Error()})
+	}
+}
+
 // handleLeaving takes the endpoint out of use after its response said that it is
 // leaving.
 func (e *directEndpoint) handleLeaving() {
--- a/internal/process/entry/directfleet.go
+++ b/internal/process/entry/directfleet.go
@@ -283,7 +283,9 @@
 const limitedRetryAfter = 2 * time.Second
 
 // RetryAfter implements caller.Fleet. A broken group can serve again at the earliest
-// when its ranks have noticed the loss and formed a new epoch.
+// when its ranks have noticed the loss and formed a new epoch. If all its endpoints
+// pause, none of its callers, who return up to a quarter earlier or later than told,
+// should return before the first pause ends.
 func (f *directFleet) RetryAfter(group string) time.Duration {
 	b := f.bundle.Load()
 	if b == nil || b.Group(group) == nil {
@@ -292,12 +294,17 @@
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	usable, limited, broken := 0, 0, 0
+	shortestPause := time.Duration(0)
 	for _, e := range f.endpoints {
 		switch {
 		case e.info.Group != group:
 		case e.group != nil && !e.group.usable():
 			broken++
 		case e.member.IsUsable():
+			if pause := e.member.PausedFor(); pause > 0 {
+				shortestPause = minPositive(shortestPause, pause)
+				continue
+			}
 			usable++
 			if e.member.RequestLimit.Limits() {
 				limited++
@@ -305,6 +312,8 @@
 		}
 	}
 	switch {
+	case usable == 0 && shortestPause > 0:
+		return shortestPause * 4 / 3
 	case usable == 0 && broken > 0:
 		return f.settings.Deployment.Stall() + b.Group(group).Experts.FormTime + recoveryMargin
 	case 2*limited > usable:
@@ -313,6 +322,14 @@
 	return 0
 }
 
+// minPositive returns the smaller one of two durations that is not 0.
+func minPositive(a, b time.Duration) time.Duration {
+	if a == 0 || b > 0 && b < a {
+		return b
+	}
+	return a
+}
+
 // ready reports whether callers can be served.
 func (f *directFleet) ready() bool {
 	f.mu.RLock()
--- a/internal/request/balancer/member.go
+++ b/internal/request/balancer/member.go
@@ -33,6 +33,9 @@
 	// Warmup limits the requests to a cold endpoint that has no gate; nil if the
 	// endpoint has a gate.
 	Warmup *WarmupLimiter
+	// pausedUntil is until when the endpoint wants no requests from this entry; nil
+	// before the first pause.
+	pausedUntil atomic.Pointer[time.Time]
 	// RequestLimit limits the requests to an endpoint that names a limit.
 	RequestLimit RequestLimiter
 	// Usable reports whether what the endpoint depends on works, such as its rank
@@ -68,6 +71,29 @@
 // Close records that the endpoint takes no new work until the next announcement.
 func (m *Member) Close() { m.open.Store(false) }
 
+// PauseUntil keeps requests from the endpoint until a time. It reports whether that ends
+// later than an earlier pause.
+func (m *Member) PauseUntil(then time.Time) bool {
+	for {
+		before := m.pausedUntil.Load()
+		if before != nil && !then.After(*before) {
+			return false
+		}
+		if m.pausedUntil.CompareAndSwap(before, &then) {
+			return true
+		}
+	}
+}
+
+// PausedFor returns how much longer the endpoint wants no requests; 0 if it takes some.
+func (m *Member) PausedFor() time.Duration {
+	until := m.pausedUntil.Load()
+	if until == nil {
+		return 0
+	}
+	return max(0, time.Until(*until))
+}
+
 // othersLifetime is how long counts of the requests of other entries are used.
 const othersLifetime = 2 * time.Second
 
@@ -109,14 +135,15 @@
 // EndRequest counts one request less. Call it once for each BeginRequest.
 func (m *Member) EndRequest() { m.own.Add(-1) }
 
-// IsUsable reports whether the endpoint takes requests, apart from limits on its rate.
+// IsUsable reports whether the endpoint takes requests, apart from pauses and limits on
+// its rate.
 func (m *Member) IsUsable() bool {
 	return m.open.Load() && m.up.Load() && !m.held.Load() && (m.Usable == nil || m.Usable())
 }
 
 // eligible reports whether a request may be sent to the endpoint now.
 func (m *Member) eligible() bool {
-	return m.IsUsable() && (m.Warmup == nil || m.Warmup.Ready()) && m.RequestLimit.Ready()
+	return m.IsUsable() && m.PausedFor() == 0 && (m.Warmup == nil || m.Warmup.Ready()) && m.RequestLimit.Ready()
 }
 
 // Take uses up one request of the limits on the endpoint's rate and reports whether it may
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -83,6 +84,10 @@
 	limit float64
 	// leaving is true if responses say that the endpoint is leaving.
 	leaving bool
+	// pauseUntil is until when every request is refused with a Retry-After of the rest.
+	pauseUntil time.Time
+	// refused has the times of the requests that were refused.
+	refused []time.Time
 	// misdirected counts the requests for another endpoint.
 	misdirected int
 }
@@ -109,6 +114,41 @@
 	k.leaving = true
 }
 
+// Pause makes the endpoint refuse all requests for a time and say when it takes some
+// again.
+func (k *Worker) Pause(d time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.pauseUntil = time.Now().Add(d)
+}
+
+// Refused returns the times of the requests that were refused.
+func (k *Worker) Refused() []time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Clone(k.refused)
+}
+
+// refuse responds that the request did not run.
+func (k *Worker) refuse(w http.ResponseWriter) {
+	k.mu.Lock()
+	k.refused = append(k.refused, time.Now())
+	rest := time.Until(k.pauseUntil)
+	k.mu.Unlock()
+	if rest > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', 3, 64))
+	}
+	w.Header().Set("X-Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// paused reports whether the endpoint refuses all requests.
+func (k *Worker) paused() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return time.Now().Before(k.pauseUntil)
+}
+
 // describeState adds to a response what the endpoint says of itself.
 func (k *Worker) describeState(h http.Header) {
 	k.mu.Lock()
@@ -163,9 +203,8 @@
 	f := k.nextFault()
 	w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 	k.describeState(w.Header())
-	if f == Shed {
-		w.Header().Set("X-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+	if f == Shed || k.paused() {
+		k.refuse(w)
 		return
 	}
 	body, err := io.ReadAll(r.Body)
