Bring bundles and orders back to a table that came back from a copy

Looked for elsewhere after the store of the platform: the product's own mode keeps the pointer to the bundle and the orders in a table, and took numbers for the newer state there as well.

What operators would see: after the table has lost bundle 2, they apply the next one as version 2 again; it is confirmed, and all entries, which have the first version 2, ignore it for good. An order that is recorded with the revision that a lost one had is not seen for 5 minutes, until the next scan.

Change: a poller whose view has a newer bundle than the table writes it there again, by compare-and-swap (224); operators then get the usual conflict and base theirs on it. The row that tells readers to scan the orders has a random value, so that two writes with one revision differ. Lost orders were recorded again already.

Open: claims of idempotency keys that the table lost. The table names no era, so an entry can't tell that a claim may be missing; a repeat of such a key may run again.

--- a/internal/connection/store/intent.go
+++ b/internal/connection/store/intent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 
@@ -15,7 +16,7 @@
 const (
 	// currentBundleKey is the row that points to the current bundle.
 	currentBundleKey = "current"
-	// ordersRevisionKey is the row whose revision grows with each recorded order.
+	// ordersRevisionKey is the row that changes with each recorded order.
 	ordersRevisionKey = "orders"
 	// maxRecordAttempts bounds the attempts to record orders while other writers
 	// change that row.
@@ -136,6 +137,24 @@
 	return i.confirmApplied(ctx, s)
 }
 
+// RestoreBundle makes a bundle the current one again if the table has an older one or
+// none, because it came back from a copy.
+func (i *IntentStore) RestoreBundle(ctx context.Context, s *bundle.Signed) error {
+	current, revision, err := i.Pointer(ctx)
+	if err != nil || current != nil && current.Version >= s.Version {
+		return err
+	}
+	if err := i.uploadContent(ctx, current, s); err != nil {
+		return err
+	}
+	value, err := json.Marshal(s)
+	if err != nil {
+		return oops.In("platform").Wrap(err)
+	}
+	_, err = i.table.Commit(ctx, []table.Write{{Key: currentBundleKey, Value: value, Expect: revision}})
+	return err
+}
+
 // confirmApplied reads the pointer back after a write that was not confirmed. It
 // returns nil if the bundle is the current one.
 func (i *IntentStore) confirmApplied(ctx context.Context, s *bundle.Signed) error {
@@ -172,11 +191,20 @@
 	return orders, nil
 }
 
-// OrdersRevision returns a number that grows with each recorded order. Readers
-// scan the orders only if it changed.
-func (i *IntentStore) OrdersRevision(ctx context.Context) (uint64, error) {
+// OrdersRevision identifies a state of the recorded orders.
+type OrdersRevision struct {
+	// Number grows with each recorded order. A table that comes back from a copy
+	// issues numbers again.
+	Number uint64
+	// Nonce is random and differs between writes with the same number.
+	Nonce string
+}
+
+// OrdersRevision returns the revision of the recorded orders. Readers scan the orders
+// only if it changed.
+func (i *IntentStore) OrdersRevision(ctx context.Context) (OrdersRevision, error) {
 	row, err := i.table.Get(ctx, ordersRevisionKey)
-	return row.Number, err
+	return OrdersRevision{Number: row.Number, Nonce: string(row.Value)}, err
 }
 
 // RecordOrders writes the orders that are not recorded yet and raises the orders
@@ -197,7 +225,11 @@
 		if err != nil {
 			return err
 		}
-		raised := table.Write{Key: ordersRevisionKey, Value: json.RawMessage("true"), Expect: revision}
+		nonce, err := json.Marshal(rand.Text())
+		if err != nil {
+			return oops.In("platform").Wrap(err)
+		}
+		raised := table.Write{Key: ordersRevisionKey, Value: nonce, Expect: revision.Number}
 		results, err := i.table.Commit(ctx, append(writes, raised))
 		if err != nil {
 			return err
--- a/internal/connection/store/poller.go
+++ b/internal/connection/store/poller.go
@@ -34,7 +34,7 @@
 	// ordersRevision, lastScan and recorded are the orders revision, the time and
 	// the ids of the last scan of all orders. Only the polling goroutine uses
 	// them.
-	ordersRevision uint64
+	ordersRevision OrdersRevision
 	lastScan       time.Time
 	recorded       map[string]bool
 	done           sync.WaitGroup
@@ -124,12 +124,27 @@
 	return nil
 }
 
-// pollBundle fetches and adopts the current bundle if it is newer than the view's.
+// pollBundle fetches and adopts the current bundle if it is newer than the view's. A
+// table with an older one came back from a copy: it gets the view's bundle, since the
+// next bundle that operators apply must have a higher version.
 func (p *Poller) pollBundle(ctx context.Context) error {
+	// Read before the table, which has each bundle before any view has it.
+	held := p.view.Signed()
 	pointer, _, err := p.intent.Pointer(ctx)
-	if err != nil || pointer == nil || pointer.Version <= p.view.Version() {
+	if err != nil {
 		return err
 	}
+	stored := uint64(0)
+	if pointer != nil {
+		stored = pointer.Version
+	}
+	switch {
+	case held != nil && stored < held.Version:
+		p.log.Warn(events.BundleRestored, events.Fields{"version": held.Version, "stored": stored})
+		return p.intent.RestoreBundle(ctx, held)
+	case pointer == nil || stored <= p.view.Version():
+		return nil
+	}
 	if err := p.intent.FetchContent(ctx, pointer, p.view.Signed().Parts()); err != nil {
 		return err
 	}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -46,6 +46,7 @@
 	StoreRestored             Event = 221
 	EndpointPaused            Event = 222
 	EndpointPauseInvalid      Event = 223
+	BundleRestored            Event = 224
 	SettingsReloaded          Event = 104
 	SettingsRefused           Event = 105
 	RequestOutcomeUnknown     Event = 400
@@ -107,6 +108,7 @@
 	StoreRestored:             "store came back from a copy",
 	EndpointPaused:            "endpoint wants no requests for a while",
 	EndpointPauseInvalid:      "invalid pause of an endpoint ignored",
+	BundleRestored:            "table has an older bundle, writing the one in force again",
 	RequestOutcomeUnknown:     "request outcome unknown",
 	ResponseAborted:           "response to caller aborted",
 	RequestInvalid:            "request invalid",
--- a/internal/standin/platformstate.go
+++ b/internal/standin/platformstate.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -50,6 +51,31 @@
 	p.faults = f
 }
 
+// TableCopy is a copy of a Platform's table.
+type TableCopy struct{ rows map[string]table.Row }
+
+// Without returns the copy without a row.
+func (c TableCopy) Without(key string) TableCopy {
+	rows := maps.Clone(c.rows)
+	delete(rows, key)
+	return TableCopy{rows: rows}
+}
+
+// CopyTable returns a copy of the present table.
+func (p *Platform) CopyTable() TableCopy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return TableCopy{rows: maps.Clone(p.rows)}
+}
+
+// RestoreTable replaces the table by a copy. Revisions after those of the copy are issued
+// again.
+func (p *Platform) RestoreTable(c TableCopy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rows = maps.Clone(c.rows)
+}
+
 // Counts returns the numbers of reads and commits of the table so far.
 func (p *Platform) Counts() (reads, writes int) {
 	p.mu.Lock()
