Let the soak restore its store from a copy

The soak's store could fail, be silent, slow or drop its history, but not go back. Half of the faults that dropped the history while it refused calls or lost responses now restore the copy from their start instead; rows of operators and endpoints are written again 0.3 s later, rows of the entries are not.

--- a/cmd/standin/deployment.go
+++ b/cmd/standin/deployment.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -20,7 +21,7 @@
 func rowStoreCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "rowstore",
-		Usage: "row store of the users' platform; POST /trouble sets its faults, POST /forget drops its history",
+		Usage: "row store of the users' platform; POST /trouble sets its faults, POST /forget drops its history, POST /copy copies it, POST /restore restores the copy, POST /rewrite writes again what was lost",
 		Flags: []cli.Flag{addressFlag()},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			s := standin.NewRowStore()
@@ -39,6 +40,19 @@
 			})
 			mux.HandleFunc("POST /trouble", jsonHandler(s.SetFaults))
 			mux.HandleFunc("POST /forget", func(http.ResponseWriter, *http.Request) { s.DropHistory() })
+			var backup atomic.Pointer[standin.StoreCopy]
+			mux.HandleFunc("POST /copy", func(http.ResponseWriter, *http.Request) {
+				c := s.Copy()
+				backup.Store(&c)
+			})
+			mux.HandleFunc("POST /restore", func(w http.ResponseWriter, _ *http.Request) {
+				if c := backup.Load(); c != nil {
+					s.Restore(*c)
+					return
+				}
+				http.Error(w, "no copy", http.StatusConflict)
+			})
+			mux.HandleFunc("POST /rewrite", func(http.ResponseWriter, *http.Request) { s.Rewrite() })
 			return serve(ctx, c.String("address"), mux)
 		},
 	}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -146,17 +146,34 @@
 	return in.link("link to "+n.name, n.relay)
 }
 
+// rewriteDelay is how long after a restore of the store operators and endpoints write
+// again what was lost.
+const rewriteDelay = 300 * time.Millisecond
+
 // store makes the store misbehave and, with a probability of 1/3, drop its history of
-// changes at the end.
+// changes at the end or, if it was not only slow or silent, come back from a copy that was
+// made at the start.
 func (in *faultInjector) store() fault {
 	faults := []standin.StoreFaults{{Status: http.StatusServiceUnavailable}, {Silent: true}, {Delay: 200 * time.Millisecond}, {LoseWrites: true}}
 	chosen, dropHistory := faults[in.random.IntN(len(faults))], in.random.IntN(3) == 0
-	return fault{name: fmt.Sprintf("store %+v, drops history %v", chosen, dropHistory), start: func() func() {
-		in.deployment.send(http.MethodPost, "http://"+in.deployment.store+"/trouble", chosen)
+	restored := dropHistory && (chosen.LoseWrites || chosen.Status != 0)
+	post := func(action string, body any) {
+		in.deployment.send(http.MethodPost, "http://"+in.deployment.store+"/"+action, body)
+	}
+	return fault{name: fmt.Sprintf("store %+v, drops history %v, restored %v", chosen, dropHistory, restored), start: func() func() {
+		if restored {
+			post("copy", nil)
+		}
+		post("trouble", chosen)
 		return func() {
-			in.deployment.send(http.MethodPost, "http://"+in.deployment.store+"/trouble", standin.StoreFaults{})
-			if dropHistory {
-				in.deployment.send(http.MethodPost, "http://"+in.deployment.store+"/forget", nil)
+			post("trouble", standin.StoreFaults{})
+			switch {
+			case restored:
+				post("restore", nil)
+				time.Sleep(rewriteDelay)
+				post("rewrite", nil)
+			case dropHistory:
+				post("forget", nil)
 			}
 		}
 	}}
--- a/internal/standin/rowstore.go
+++ b/internal/standin/rowstore.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"maps"
@@ -47,6 +48,8 @@
 	revision uint64
 	// historyStart is the lowest revision from which a feed can continue.
 	historyStart uint64
+	// lost has the rows from before the last restore.
+	lost map[string]storeRow
 	// era counts the restores, from 1 on.
 	era     uint64
 	faults  StoreFaults
@@ -96,12 +99,36 @@
 func (s *RowStore) Restore(c StoreCopy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.lost = s.rows
 	s.rows, s.history = maps.Clone(c.rows), slices.Clone(c.history)
 	s.revision, s.historyStart = c.revision, c.historyStart
 	s.era++
 	s.wakeFeeds()
 }
 
+// Rewrite writes the rows of operators and endpoints again that the last restore lost,
+// and removes those that it brought back.
+func (s *RowStore) Rewrite() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, row := range s.lost {
+		if now, ok := s.rows[id]; row.Table != leaseTable && (!ok || !bytes.Equal(now.Value, row.Value)) {
+			s.revision++
+			s.write(row)
+		}
+	}
+	for id, row := range s.rows {
+		if _, ok := s.lost[id]; row.Table != leaseTable && !ok {
+			s.revision++
+			s.write(storeRow{Table: row.Table, Part: row.Part, Key: row.Key, Deleted: true})
+		}
+	}
+	s.wakeFeeds()
+}
+
+// leaseTable is the table that entries write.
+const leaseTable = "leases"
+
 // Calls returns the number of HTTP calls so far.
 func (s *RowStore) Calls() int {
 	s.mu.Lock()
