Tell operators what a restore of the store changed

Event 221 had what the reread returned, not what became of the rows that differ. It has the number of rows that stay in use and of rows that are withheld now, and a gauge shows the store's era. No decision changes; the specs of restores are green.

--- a/internal/connection/store/follower.go
+++ b/internal/connection/store/follower.go
@@ -142,11 +142,15 @@
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		s, err := w.feed.Read(ctx, t)
-		if err == nil {
-			w.logRestore(t, s)
-			w.mirror.Replace(t, s)
+		if err != nil {
+			return err
 		}
-		return err
+		had, known := w.mirror.Revision(t)
+		w.mirror.Replace(t, s)
+		if known && s.Revision.Era > had.Era {
+			w.logRestore(t, had, s)
+		}
+		return nil
 	}
 	since, _ := w.mirror.Revision(t)
 	ctx, cancel := context.WithTimeout(ctx, longPollWait+longPollMargin)
@@ -163,15 +167,15 @@
 	return nil
 }
 
-// logRestore logs if a snapshot read from the store belongs to a later era than the
-// mirror's copy.
-func (w *Follower) logRestore(t mirror.Topic, s mirror.Snapshot) {
-	if had, known := w.mirror.Revision(t); known && s.Revision.Era > had.Era {
-		w.log.Warn(events.StoreRestored, events.Fields{
-			"topic": t, "era": had.Era, "revision": had.Number,
-			"storeEra": s.Revision.Era, "storeRevision": s.Revision.Number, "rows": len(s.Rows),
-		})
-	}
+// logRestore logs that the mirror's copy, which had a revision of an earlier era, was
+// brought to a snapshot that was read from the store.
+func (w *Follower) logRestore(t mirror.Topic, had table.Revision, s mirror.Snapshot) {
+	now, _ := w.mirror.Snapshot(t)
+	w.log.Warn(events.StoreRestored, events.Fields{
+		"topic": t, "era": had.Era, "revision": had.Number,
+		"storeEra": s.Revision.Era, "storeRevision": s.Revision.Number, "rows": len(s.Rows),
+		"kept": len(now.Lapsed), "withheld": len(now.Withheld),
+	})
 }
 
 // recordSuccess records a successful call in the mirror and logs the end of an outage.
--- a/internal/process/entry/storeenvironment.go
+++ b/internal/process/entry/storeenvironment.go
@@ -78,6 +78,10 @@
 	m.RegisterGauge("cicadareel_limited_accounts", "Client accounts that get less than they ask for.", controller.LimitedAccounts)
 	m.RegisterGauge("cicadareel_suspected_prompt_parts", "Parts of prompts that are suspected of crashing endpoints.", suspects.SuspectedParts)
 	m.RegisterGauge("cicadareel_limited_endpoints", "Endpoints that name a limit on their requests.", fleet.limitedEndpoints)
+	m.RegisterGauge("cicadareel_store_era", "How often the store came back from a copy, as it counts.", func() int64 {
+		revision, _ := tableMirror.Revision(mirror.Intent)
+		return int64(revision.Era)
+	})
 	m.RegisterGauge("cicadareel_bundle_version", "Version of the bundle in force.", fleet.bundleVersion)
 	return &environment{
 		dependencies: caller.Dependencies{
