--- a/internal/process/entry/restore_test.go
+++ b/internal/process/entry/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -237,4 +238,18 @@
 			Expect(status(e, "/look/x")).To(Equal(http.StatusUnauthorized))
 		})
 	})
+
+	It("does not take endpoints for cold again", func() {
+		withPair(func() {
+			d.startWorker("model", "models", "a", func(w *standin.Worker) { w.Events = 1 })
+			d.announce("model", "models", "a", addressOf("model"), func(r map[string]any) { r["cold_remaining_ms"] = 3000 })
+			time.Sleep(5 * time.Second)
+			loseChanges(20)
+			time.Sleep(500 * time.Millisecond)
+			for i := range 20 {
+				id := strconv.Itoa(i)
+				Expect(e.call("/draft/x", id, nil).status).To(Equal(http.StatusOK))
+			}
+		})
+	})
 })
