Keep cancellations of runs that have just been admitted

Cause: a run got its cancel function only as it started. A Cancel frame from an entry that arrived between the admission of a queued attempt and that start called a nil function; one that arrived a little earlier found the attempt neither in the queue nor attached, or sealed an attempt that the gate had admitted, and was lost. Two readers of one response on a stream shared one entry, which the first to end deleted, so that no later Cancel found the run.

Change: a run has its context from the beginning; it is attached before it leaves the queue's map, and a cancellation of a queued attempt stops the run as well. Readings are counted.

--- a/internal/connection/entry/run.go
+++ b/internal/connection/entry/run.go
@@ -28,7 +28,9 @@
 	response *response.Buffer
 	// kept is true if the response stays available for repeated requests with the
 	// same idempotency key after it was read.
-	kept   bool
+	kept bool
+	// ctx ends with the attempt's deadline or the server; cancel ends it earlier.
+	ctx    context.Context
 	cancel context.CancelFunc
 
 	mu sync.Mutex
@@ -43,8 +45,11 @@
 	sizeAtEnd int
 }
 
-// newRun returns a run for the attempt of a begin frame that arrived at now.
-func newRun(b *wire.Begin, now time.Time) *run {
+// newRun returns a run for the attempt of a begin frame that arrived at now. Its cancel
+// function must be called once it is over or refused.
+func newRun(ctx context.Context, b *wire.Begin, now time.Time) *run {
+	deadline := now.Add(b.GetRemaining().AsDuration())
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	header := http.Header{}
 	for _, h := range b.GetHeaders() {
 		header[h.GetName()] = h.GetValues()
@@ -52,6 +57,8 @@
 	header.Set(endpoint.RequestIDHeader, b.GetId().GetRequestId())
 	header.Set(endpoint.PriorityHeader, strconv.Itoa(int(b.GetPriority())))
 	return &run{
+		ctx:    ctx,
+		cancel: cancel,
 		attempt: gate.Attempt{
 			RequestID:   b.GetId().GetRequestId(),
 			Number:      b.GetId().GetNumber(),
@@ -59,7 +66,7 @@
 			Weight:      max(1, b.GetWeight()),
 			Priority:    int(b.GetPriority()),
 			Idempotent:  b.GetIdempotent(),
-			Deadline:    now.Add(b.GetRemaining().AsDuration()),
+			Deadline:    deadline,
 			Incarnation: b.GetIncarnation(),
 			Epoch:       b.GetEpoch(),
 		},
@@ -127,7 +134,8 @@
 
 // execute sends the request to the endpoint, buffers the response, and returns
 // the completion for the gate.
-func (r *run) execute(ctx context.Context, client *endpoint.Client) gate.Completion {
+func (r *run) execute(client *endpoint.Client) gate.Completion {
+	ctx := r.ctx
 	started := time.Now()
 	resp, err := client.Do(ctx, r.call)
 	if err != nil {
--- a/internal/connection/entry/server.go
+++ b/internal/connection/entry/server.go
@@ -199,20 +199,18 @@
 // startRun executes an admitted run in a goroutine, or fails it if the server is
 // closed.
 func (s *Server) startRun(r *run) {
-	ctx, cancel := context.WithDeadline(s.baseContext, r.attempt.Deadline)
-	r.cancel = cancel
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
-		cancel()
+		r.cancel()
 		r.response.Fail(response.Failure{Reason: string(outcome.ShuttingDown)})
 		s.gate.Finish(r.attempt, gate.Completion{NeverSent: true})
 		return
 	}
 	s.runs.add(r)
 	s.done.Go(func() {
-		defer cancel()
-		completion := r.execute(ctx, s.client)
+		defer r.cancel()
+		completion := r.execute(s.client)
 		s.gate.Finish(r.attempt, completion)
 		s.runs.markEnded(r, s.gate.State().Epoch)
 	})
--- a/internal/connection/entry/session.go
+++ b/internal/connection/entry/session.go
@@ -49,9 +49,10 @@
 
 	mu sync.Mutex
 	// attached maps request ids to the runs whose responses this stream reads.
-	attached map[string]*run
-	// queued maps request ids to attempts in the gate's queue.
-	queued map[string]gate.Attempt
+	attached map[string]*reading
+	// queued maps request ids to runs whose attempts are in the gate's queue, or were
+	// admitted from it a moment ago.
+	queued map[string]*run
 
 	// noMoreFrames is closed when no more frames will be queued; the writer then
 	// sends the remaining ones and ends.
@@ -66,8 +67,8 @@
 		outgoing:     make(chan *wire.SidecarFrame, maxOutgoingFrames),
 		ctx:          ctx,
 		cancel:       cancel,
-		attached:     map[string]*run{},
-		queued:       map[string]gate.Attempt{},
+		attached:     map[string]*reading{},
+		queued:       map[string]*run{},
 		noMoreFrames: make(chan struct{}),
 	}
 }
@@ -172,23 +173,29 @@
 	if b.GetMethod() == "" || len(b.GetTarget()) == 0 || b.GetTarget()[0] != '/' {
 		return &MalformedError{Problem: "missing method, or target without leading slash"}
 	}
-	r := newRun(b, time.Now())
+	r := s.newRun(b)
 	decisions := make(chan gate.Decision, 1)
 	decision := s.server.gate.Submit(r.attempt, func(v gate.Decision) { decisions <- v })
 	switch v := decision.(type) {
 	case gate.Refused:
+		r.cancel()
 		s.send(refusal(id, v.Reason, v.Reason == outcome.AlreadyAdmitted))
 	case gate.Admitted:
 		s.attach(r)
 		s.server.startRun(r)
 		s.senders.Go(func() { s.sendResponse(r, id, false, 0) })
 	case gate.Queued:
-		s.addQueued(r.attempt)
+		s.addQueued(r)
 		s.senders.Go(func() { s.awaitDecision(r, id, decisions) })
 	}
 	return nil
 }
 
+// newRun returns a run for a begin frame that arrives now.
+func (s *session) newRun(b *wire.Begin) *run {
+	return newRun(s.server.baseContext, b, time.Now())
+}
+
 // awaitDecision waits for the gate's decision on a queued attempt. When the
 // stream ends, it withdraws the attempt from the queue; if the attempt has left
 // the queue already, the decision is about to arrive.
@@ -198,16 +205,19 @@
 	case decision = <-decisions:
 	case <-s.ctx.Done():
 		if s.server.gate.Withdraw(r.attempt) {
+			r.cancel()
 			return
 		}
 		decision = <-decisions
 	}
-	s.removeQueued(r.attempt.RequestID)
 	switch v := decision.(type) {
 	case gate.Refused:
+		s.removeQueued(r.attempt.RequestID)
+		r.cancel()
 		s.send(refusal(id, v.Reason, false))
 	case gate.Admitted:
 		s.attach(r)
+		s.removeQueued(r.attempt.RequestID)
 		s.server.startRun(r)
 		s.sendResponse(r, id, false, 0)
 	}
@@ -283,42 +293,61 @@
 	s.server.runs.removeIfRead(r)
 }
 
-// cancelAttempt handles an entry's cancellation: it seals an attempt that is
-// queued, and stops the run of one that was admitted.
+// cancelAttempt handles an entry's cancellation: it seals an attempt that is queued, and
+// stops its run in case it was admitted meanwhile.
 func (s *session) cancelAttempt(id string) {
 	s.mu.Lock()
-	attempt, isQueued := s.queued[id]
-	r := s.attached[id]
+	queued, read := s.queued[id], s.attached[id]
 	s.mu.Unlock()
-	if isQueued {
-		s.server.gate.Seal(attempt.RequestID, attempt.Number, attempt.Epoch)
-		return
+	if queued != nil {
+		a := queued.attempt
+		s.server.gate.Seal(a.RequestID, a.Number, a.Epoch)
+		queued.stop()
 	}
-	if r != nil {
-		r.stop()
+	if read != nil {
+		read.run.stop()
 	}
 }
 
+// reading is a run whose response a stream reads.
+type reading struct {
+	run *run
+	// readers counts the senders of the response on the stream; at least 1.
+	readers int
+}
+
 // attach counts the session as a reader of the run.
 func (s *session) attach(r *run) {
 	r.attach()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.attached[r.attempt.RequestID] = r
+	id := r.attempt.RequestID
+	if read := s.attached[id]; read != nil && read.run == r {
+		read.readers++
+		return
+	}
+	s.attached[id] = &reading{run: r, readers: 1}
 }
 
-// detach ends the session's reading of the run.
+// detach ends a reading of the run. Another one on the stream goes on.
 func (s *session) detach(r *run) {
 	r.detach()
 	s.mu.Lock()
-	delete(s.attached, r.attempt.RequestID)
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	id := r.attempt.RequestID
+	read := s.attached[id]
+	if read == nil || read.run != r {
+		return
+	}
+	if read.readers--; read.readers == 0 {
+		delete(s.attached, id)
+	}
 }
 
-func (s *session) addQueued(a gate.Attempt) {
+func (s *session) addQueued(r *run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.queued[a.RequestID] = a
+	s.queued[r.attempt.RequestID] = r
 }
 
 func (s *session) removeQueued(id string) {
