Do not crash on events out of order of an attempt that a claim names

An entry that follows another entry's attempt at a keyed stream has no member for its endpoint; if that stream's events are out of order, the log line read the member's name and the entry panicked, breaking the connection of this caller.

Change: the name is empty then.

--- a/internal/connection/caller/dispatch.go
+++ b/internal/connection/caller/dispatch.go
@@ -82,6 +82,7 @@
 
 // attempt is one attempt at one endpoint.
 type attempt struct {
+	// target has no Member if the attempt is another entry's, which a claim names.
 	target Target
 	id     *wire.AttemptId
 	// remote identifies the sidecar process; zero for a direct attempt.
@@ -90,6 +91,15 @@
 	begun time.Time
 }
 
+// endpointName returns the name of the attempt's endpoint; empty if it is another
+// entry's attempt.
+func (a attempt) endpointName() string {
+	if a.target.Member == nil {
+		return ""
+	}
+	return a.target.Member.Name
+}
+
 func newDispatch(s *Service, q *request, w *delivery) *dispatch {
 	d := &dispatch{service: s, request: q, delivery: w, query: q.query()}
 	w.onLate = func() {
@@ -293,7 +303,7 @@
 		return d.handleRefusal(ctx, a, k)
 	case outOfOrder:
 		x.Cancel()
-		d.service.log(d.request, events.EventsOutOfOrder, events.Fields{"endpoint": a.target.Member.Name, "error": k.cause.Error()})
+		d.service.log(d.request, events.EventsOutOfOrder, events.Fields{"endpoint": a.endpointName(), "error": k.cause.Error()})
 		return finish{outcome: outcome.Unknown{Reason: outcome.EventsOutOfOrder}}
 	case transportBroken:
 		if k.timedOut {
