--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -98,7 +98,7 @@
 without "lapsed rows stay for a grace period" internal/version/mirror/mirror.go 's/lapseGrace = 2200/lapseGrace = 1/' ./$entry "rows lapsed"
 without "lapsed rows expire" internal/version/mirror/mirror.go 's/lapseGrace = 2200/lapseGrace = 220000/' ./$entry "rows lapsed"
 without "peers do not extend the grace period of lapsed rows" internal/version/mirror/mirror.go 's/Add\(l.Remaining\)/Add(lapseGrace)/' ./internal/version/mirror "lengthen"
-without "rows that an authoritative snapshot lacks are deleted at once" internal/version/mirror/mirror.go 's/^\t\tif s.Authoritative \{/\t\tif false {/' ./internal/version/mirror "never lost the store"
+without "rows that an authoritative snapshot lacks are deleted at once" internal/version/mirror/mirror.go 's/case s.Authoritative:/case false:/' ./internal/version/mirror "never lost the store"
 without "tables are read anew when the store lost its history" platform/store.go 's/status == http.StatusGone/status == 999/' ./$entry "loses its history"
 without "the era of a store orders its revisions" internal/table/table.go 's/if r.Era != other.Era \{/if false {/' ./$entry "comes back from a copy"
 without "entries tell each other the era of their copies" internal/connection/peer/tablegossip.go 's/Topic: string\(t\), Era: revision.Era, /Topic: string(t), /' ./$entry "get copies from others"
