--- a/internal/version/mirror/mirror.go
+++ b/internal/version/mirror/mirror.go
@@ -75,7 +75,7 @@
 }
 
 // maxRemovals is the number of removed keys that a copy remembers for partial
-// snapshots.
+// snapshots, and of removed rows for restores.
 const maxRemovals = 4096
 
 // lapseGrace is how long an endpoint's row may be missing after the store is
@@ -99,7 +99,8 @@
 	// restoredAt is when the copy first belonged to the present era, if it belonged to
 	// an earlier one before.
 	restoredAt time.Time
-	// removedRows has the last content of removed rows.
+	// removedRows has the last content of removed rows, which a copy of the store may
+	// bring back.
 	removedRows map[string]table.Row
 	// withheld has rows that came back with a copy of the store.
 	withheld map[string]timed
