Review case 2: a prompt part behind 64 others is never quarantined

A part that crashes workers, as the last of 71 shared parts of a prompt, isn't read, so that no part is suspected and the group of ranks is down most of the time.

The // case moves to review/4.

--- a/review/_standin/deployment.go
+++ b/review/_standin/deployment.go
@@ -60,6 +60,9 @@
 	storeAddress string
 	// entries are the addresses at which entries serve clients.
 	entries []string
+	// settingsPaths are the settings files of the entries, and readiness the addresses of
+	// their readiness checks.
+	settingsPaths, readiness []string
 	// configVersion is the version of the last configuration.
 	configVersion int
 
@@ -142,23 +145,43 @@
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			return err
 		}
+		d.settingsPaths = append(d.settingsPaths, path)
+		d.entries, d.readiness = append(d.entries, address(i, 0)), append(d.readiness, address(i, 1))
+	}
+	return d.startAll()
+}
+
+// startAll starts all entries and waits until they are ready.
+func (d *deployment) startAll() error {
+	for _, path := range d.settingsPaths {
 		if err := d.startEntry(path); err != nil {
 			return err
 		}
-		d.entries = append(d.entries, address(i, 0))
 	}
-	for i := range count {
-		if err := waitUntilReady(address(i, 1)); err != nil {
+	for _, address := range d.readiness {
+		if err := waitUntilReady(address); err != nil {
 			return err
 		}
 	}
-	d.printf("%d entries are ready", count)
+	d.printf("%d entries are ready", len(d.entries))
 	return nil
 }
 
+// killAll kills all entries.
+func (d *deployment) killAll() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.processes {
+		_ = p.Process.Kill()
+		_ = p.Wait()
+	}
+	d.processes = nil
+	d.printf("all entries are killed")
+}
+
 // startEntry starts one entry with the command of the deploy file.
 func (d *deployment) startEntry(settingsPath string) error {
-	log, err := os.Create(strings.TrimSuffix(settingsPath, ".toml") + ".log")
+	log, err := os.OpenFile(strings.TrimSuffix(settingsPath, ".toml")+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -21,7 +21,9 @@
 // cases are the cases by the name of their folder.
 var cases = map[string]func(*deployment, bool) (broken bool, err error){
 	"2": runLongPrompts,
-	"3": runDoubleSlash,
+	"3": runForeignRow,
+	"4": runDoubleSlash,
+	"5": runEncodedSlash,
 }
 
 // main takes the number of the case, the program of the entry and the record file. The
--- a/review/_standin/prompts.go
+++ b/review/_standin/prompts.go
@@ -49,6 +49,21 @@
 	minRequests    = 20
 )
 
+// streamRoute is the route to modelService, the service of the group.
+var (
+	streamRoute = map[string]any{
+		"name": "r-2yhvz3p", "host": host, "path_prefix": "/lohu930/", "route_type": "streaming", "timeout_ms": 8000, "target_latency_ms": 400,
+		"target_gap_ms": 120, "priority": 1, "service": "huvo11a", "max_attempts": 2, "anonymous": false, "session_affinity": true, "stream_resume": true,
+	}
+	modelService = map[string]any{
+		"name": "huvo11a", "health_path": "/healthz", "max_connections": 408, "cold_start_s": 0.0, "cold_per_s": 36.0,
+		"engine": map[string]any{
+			"slots": 12, "kv_capacity_tokens": 372000, "link_mbps": 44000.0, "report_lag_ms": 200.0, "sets": 3, "experts": 96, "placements": 40,
+			"spare": 4, "expert_mb": 78.0, "expert_share": 0.85, "form_ms": 600.0, "usual": map[string]any{"prompt": 835, "answer": 139},
+		},
+	}
+)
+
 // group is a group of model workers in lock-step.
 type group struct {
 	d *deployment
@@ -275,16 +290,7 @@
 	if err != nil {
 		return false, err
 	}
-	d.configure([]map[string]any{{
-		"name": "r-2yhvz3p", "host": host, "path_prefix": "/lohu930/", "route_type": "streaming", "timeout_ms": 8000, "target_latency_ms": 400,
-		"target_gap_ms": 120, "priority": 1, "service": "huvo11a", "max_attempts": 2, "anonymous": false, "session_affinity": true, "stream_resume": true,
-	}}, []map[string]any{{
-		"name": "huvo11a", "health_path": "/healthz", "max_connections": 408, "cold_start_s": 0.0, "cold_per_s": 36.0,
-		"engine": map[string]any{
-			"slots": 12, "kv_capacity_tokens": 372000, "link_mbps": 44000.0, "report_lag_ms": 200.0, "sets": 3, "experts": 96, "placements": 40,
-			"spare": 4, "expert_mb": 78.0, "expert_share": 0.85, "form_ms": 600.0, "usual": map[string]any{"prompt": 835, "answer": 139},
-		},
-	}})
+	d.configure([]map[string]any{streamRoute}, []map[string]any{modelService})
 	if err := d.startEntries(4); err != nil {
 		return false, err
 	}
