Suspect parts of prompts behind the 64th as well

What callers saw: requests with a part that crashes endpoints were never refused if 64 other parts preceded it.

Cause: CallerDialect read the first 64 parts of a prompt (maxSharedParts) and dropped the others, so that the quarantine could not name the part. Two more bounds of the same kind stood behind it: a message to peers had the first 256 records in the order of their names, and Merge dropped new records while 1,024 were kept.

Ruled out: a larger number in place of 64.

Change: all parts are read. Memory and time per request stay linear in the size of its header: records are looked up by part, what is less likely than another part is computed once per change instead of once per suspect, a waiting request is registered once instead of once per part, answered parts are kept as hashes (a substring kept the whole header field in memory). At most 8,192 records are kept, the least important ones go first. A message to peers has the likeliest suspects and a random part of the others, so that all arrive in time. At most 16 parts are logged for each change or request.

Conclusion: no number of parts hides one from the quarantine.

--- a/internal/connection/caller/dispatch.go
+++ b/internal/connection/caller/dispatch.go
@@ -128,7 +128,7 @@
 		"waitedMs":    d.waited.Milliseconds(),
 		"late":        d.late,
 		"overShare":   d.request.overShare,
-		"sharedParts": strings.Join(d.request.sharedParts, ","),
+		"sharedParts": partsForLog(d.request.sharedParts),
 	}
 }
 
--- a/internal/connection/caller/quarantine.go
+++ b/internal/connection/caller/quarantine.go
@@ -53,13 +53,25 @@
 	}
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 16
+
+// partsForLog returns the ids of parts, separated by commas: the last ones after "..." if
+// there are many, since those are likelier to be new.
+func partsForLog(parts []string) string {
+	if len(parts) <= maxLoggedParts {
+		return strings.Join(parts, ",")
+	}
+	return "...," + strings.Join(parts[len(parts)-maxLoggedParts:], ",")
+}
+
 // recordBroken logs an attempt whose connection to the endpoint broke. If the endpoint
 // crashed before it began to write its response, the request may be the cause.
 func (d *dispatch) recordBroken(ctx context.Context, a attempt) {
 	begun, waited := d.delivery.attemptBegun, time.Since(a.begun)
 	d.service.log(d.request, events.AttemptBroken, events.Fields{
 		"endpoint": a.target.Member.Name, "begun": begun, "tookMs": waited.Milliseconds(),
-		"sharedParts": strings.Join(d.request.sharedParts, ","),
+		"sharedParts": partsForLog(d.request.sharedParts),
 	})
 	if begun || d.service.Quarantine == nil || len(d.request.sharedParts) == 0 {
 		return
--- a/internal/connection/peer/promptmessages.go
+++ b/internal/connection/peer/promptmessages.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -12,9 +14,17 @@
 // maxPromptParts bounds the prompt parts in one message.
 const maxPromptParts = 256
 
-// promptPartsToWire converts the first maxPromptParts records to their messages.
+// promptPartsToWire converts records to their messages. If they do not fit into one message,
+// it has the first ones and, at random, as many of the others, so that a peer gets all of
+// them in time.
 func promptPartsToWire(records []quarantine.Record) []*wire.PromptPart {
-	records = records[:min(maxPromptParts, len(records))]
+	if len(records) > maxPromptParts {
+		const half = maxPromptParts / 2
+		first, rest := records[:half], records[half:]
+		begin := rand.IntN(len(rest))
+		rotated := slices.Concat(rest[begin:], rest[:begin])
+		records = slices.Concat(first, rotated[:half])
+	}
 	messages := make([]*wire.PromptPart, len(records))
 	for i, r := range records {
 		messages[i] = &wire.PromptPart{
--- a/internal/connection/peer/promptmessages_test.go
+++ b/internal/connection/peer/promptmessages_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,3 +25,22 @@
 		expectEqual(t, promptPartsFromWire(promptPartsToWire(unknown)), unknown)
 	})
 }
+
+// TestManyPromptMessages checks that a peer gets all of many records in time, and the most
+// important ones with each message.
+func TestManyPromptMessages(t *testing.T) {
+	records := make([]quarantine.Record, 10*maxPromptParts)
+	for i := range records {
+		records[i] = quarantine.Record{Part: strconv.Itoa(i), LastCrash: time.Now()}
+	}
+	received := map[string]bool{}
+	for range 1000 {
+		messages := promptPartsToWire(records)
+		expectEqual(t, len(messages), maxPromptParts)
+		expectEqual(t, messages[0].GetPart(), "0")
+		for _, m := range messages {
+			received[m.GetPart()] = true
+		}
+	}
+	expectEqual(t, len(received), len(records))
+}
--- a/internal/process/entry/promptcrash_test.go
+++ b/internal/process/entry/promptcrash_test.go
@@ -115,20 +115,22 @@
 }
 
 // runMixed sends sound requests and, every fifth time, one with deadlyPart that shares its
-// first part with them. It returns how many of the sound ones were answered at once.
-func (c *crashDeployment) runMixed(d time.Duration) (answered, sent int) {
+// first parts with them. It returns how many of the sound ones were answered at once.
+func (c *crashDeployment) runMixed(shared string, d time.Duration) (answered, sent int) {
 	const interval = 50 * time.Millisecond
 	var callers sync.WaitGroup
 	var whole atomic.Int64
 	for i := range int(d / interval) {
 		sent++
 		callers.Go(func() {
-			if r := c.draft(i, fmt.Sprintf("s%d", i), fmt.Sprintf("shared:40,own%d:600", i)); r.status == http.StatusOK && r.complete {
+			if r := c.draft(i, fmt.Sprintf("s%d", i), fmt.Sprintf("%s,own%d:600", shared, i)); r.status == http.StatusOK && r.complete {
 				whole.Add(1)
 			}
 		})
 		if i%5 == 0 {
-			callers.Go(func() { c.draft(i/5, fmt.Sprintf("d%d", i), fmt.Sprintf("shared:40,%s:90,other%d:600", deadlyPart, i)) })
+			callers.Go(func() {
+				c.draft(i/5, fmt.Sprintf("d%d", i), fmt.Sprintf("%s,%s:90,other%d:600", shared, deadlyPart, i))
+			})
 		}
 		time.Sleep(interval)
 	}
@@ -156,16 +158,32 @@
 var _ = Describe("requests with a prompt part that crashes endpoints", func() {
 	It("reach no further endpoints once it is known, and others are served", func() {
 		withCrashes(3, func(c *crashDeployment) {
-			answered, sent := c.runMixed(20 * time.Second)
+			answered, sent := c.runMixed("shared:40", 20*time.Second)
 			Expect(c.runsAfterCrashes(tolerableCrashes, 3*time.Second)).To(BeNumerically("<=", tolerableRuns))
 			Expect(len(c.crashes)).To(BeNumerically("<=", tolerableCrashes))
 			Expect(answered).To(BeNumerically(">=", sent*9/10))
 		})
 	})
 
+	It("are found behind any number of other parts that a header may have", func() {
+		for _, parts := range []int{70, 2000} {
+			withCrashes(3, func(c *crashDeployment) {
+				before := strings.TrimSuffix(strings.Repeat("%d:1,", parts), ",")
+				numbers := make([]any, parts)
+				for i := range numbers {
+					numbers[i] = i
+				}
+				answered, sent := c.runMixed(fmt.Sprintf(before, numbers...), 20*time.Second)
+				Expect(c.runsAfterCrashes(tolerableCrashes, 3*time.Second)).To(BeNumerically("<=", tolerableRuns))
+				Expect(len(c.crashes)).To(BeNumerically("<=", tolerableCrashes))
+				Expect(answered).To(BeNumerically(">=", sent*9/10))
+			})
+		}
+	})
+
 	It("are refused at once as not run, also by an entry that starts later", func() {
 		withCrashes(2, func(c *crashDeployment) {
-			c.runMixed(time.Second)
+			c.runMixed("shared:40", time.Second)
 			time.Sleep(crashDowntime)
 			c.startEntry("z").waitUntilReady()
 			time.Sleep(time.Second)
--- a/internal/process/entry/storeenvironment.go
+++ b/internal/process/entry/storeenvironment.go
@@ -119,7 +119,7 @@
 		byPeer = c.ByPeer
 		log.Warn(events.PromptPartSuspected, events.Fields{
 			"part": c.Record.Part, "endpoint": c.Record.Endpoint, "blockMs": c.Record.Block.Milliseconds(),
-			"likelihood": c.Record.Likelihood, "byPeer": c.ByPeer,
+			"likelihood": c.Record.Likelihood, "parts": c.Parts, "byPeer": c.ByPeer,
 		})
 	case quarantine.TrialBegun:
 		log.Info(events.PromptPartTried, events.Fields{"part": c.Record.Part})
--- a/internal/request/quarantine/change.go
+++ b/internal/request/quarantine/change.go
@@ -3,10 +3,12 @@
 // Change is a change of what a Tracker suspects: Suspected, TrialBegun or Cleared.
 type Change interface{ isChange() }
 
-// Suspected says that requests with the part are refused from now on. ByPeer is true if
-// another entry noticed the crash.
+// Suspected says that requests with the part are refused from now on. Parts is the number
+// of parts suspected together, of which the likeliest are reported. ByPeer is true if another
+// entry noticed the crash.
 type Suspected struct {
 	Record Record
+	Parts  int
 	ByPeer bool
 }
 
--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -8,6 +8,7 @@
 package quarantine
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -39,8 +40,11 @@
 	trialTime = 5 * time.Second
 	// recordLifetime is how long a record is kept after its block.
 	recordLifetime = 10 * time.Minute
-	// maxRecords bounds the records that are kept.
-	maxRecords = 1024
+	// maxRecords bounds the records that are kept. One crash can need as many as there are
+	// parts in a header field of 16 KiB.
+	maxRecords = 8192
+	// maxChanges bounds the parts that are reported one by one if many change together.
+	maxChanges = 16
 )
 
 // Tracker decides on the requests of one entry. It is safe for concurrent use.
@@ -52,15 +56,18 @@
 
 	mu      sync.Mutex
 	records map[string]Record
+	// lessLikely are the suspected parts of records that are less likely than another one
+	// to have caused the same crash; nil after a change of records.
+	lessLikely map[string]bool
 	// answered remembers the parts to which endpoints responded.
 	answered answeredParts
-	// waiting are the requests at endpoints that have not begun to respond, by part.
-	waiting map[string]map[*Waiting]bool
+	// waiting are the requests at endpoints that have not begun to respond.
+	waiting map[*Waiting]bool
 }
 
 // NewTracker returns a tracker that suspects nothing.
 func NewTracker(instance string, onChange func(Change)) *Tracker {
-	return &Tracker{instance: instance, onChange: onChange, records: map[string]Record{}, waiting: map[string]map[*Waiting]bool{}}
+	return &Tracker{instance: instance, onChange: onChange, records: map[string]Record{}, waiting: map[*Waiting]bool{}}
 }
 
 // Decision says whether a request may be sent to an endpoint.
@@ -79,51 +86,61 @@
 func (t *Tracker) Decide(parts []string) Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	_, d := t.decide(parts, time.Now())
-	return d
+	return t.decide(parts, time.Now())
 }
 
 // BeginTrial decides again, now that the request can be sent. A request that is allowed
 // keeps others with the same suspected parts from being sent for trialTime.
 func (t *Tracker) BeginTrial(parts []string) Decision {
 	now := time.Now()
+	var tried []Record
 	t.mu.Lock()
-	due, d := t.decide(parts, now)
-	if d.Allowed {
-		for i := range due {
-			due[i].LastTrial = now
-			t.records[due[i].Part] = due[i]
-		}
+	d := t.decide(parts, now)
+	if d.Trial {
+		tried = t.recordTrial(parts, now)
 	}
 	t.mu.Unlock()
-	if d.Allowed {
-		for _, r := range due {
-			t.onChange(TrialBegun{Record: r})
-		}
+	for _, r := range tried[:min(maxChanges, len(tried))] {
+		t.onChange(TrialBegun{Record: r})
 	}
 	return d
 }
 
-// decide returns the decision on a request and the records of its suspected parts. The
-// caller must hold mu.
-func (t *Tracker) decide(parts []string, now time.Time) ([]Record, Decision) {
-	var suspected []Record
-	refused := Decision{}
+// recordTrial records a trial of the suspected parts and returns their records. The caller
+// must hold mu.
+func (t *Tracker) recordTrial(parts []string, now time.Time) []Record {
+	var tried []Record
+	for _, part := range parts {
+		if r, ok := t.records[part]; ok && r.suspected() {
+			r.LastTrial = now
+			t.store(r)
+			tried = append(tried, r)
+		}
+	}
+	return tried
+}
+
+// decide returns the decision on a request. The caller must hold mu.
+func (t *Tracker) decide(parts []string, now time.Time) Decision {
+	allowed, refused := Decision{Allowed: true}, Decision{}
+	if len(t.records) == 0 {
+		return allowed
+	}
 	for _, part := range parts {
 		r, ok := t.records[part]
 		if !ok || !r.suspected() {
 			continue
 		}
-		suspected = append(suspected, r)
+		allowed.Trial = true
 		wait := max(t.blockedUntil(r).Sub(now), r.LastTrial.Add(trialTime).Sub(now))
 		if wait > refused.RetryAfter {
 			refused = Decision{Part: part, RetryAfter: wait}
 		}
 	}
 	if refused.Part != "" {
-		return suspected, refused
+		return refused
 	}
-	return suspected, Decision{Allowed: true, Trial: len(suspected) > 0}
+	return allowed
 }
 
 // blockedUntil returns when the block of a part ends at this entry. The caller must hold
@@ -137,15 +154,24 @@
 	return r.LastCrash.Add(time.Duration(float64(block) * (1 + spread*share)))
 }
 
+// store keeps a record. The caller must hold mu.
+func (t *Tracker) store(r Record) {
+	if before, ok := t.records[r.Part]; ok && before == r {
+		return
+	}
+	// A part of a request is a substring of its header, which is not kept.
+	r.Part = strings.Clone(r.Part)
+	t.records[r.Part] = r
+	t.lessLikely = nil
+}
+
 // isLessLikely reports whether another part is more likely to have caused the crash. The
 // caller must hold mu.
 func (t *Tracker) isLessLikely(r Record) bool {
-	for _, other := range t.records {
-		if other.Endpoint == r.Endpoint && other.suspected() && sameEvent(other.LastCrash, r.LastCrash) && r.Likelihood < lessLikely*other.Likelihood {
-			return true
-		}
+	if t.lessLikely == nil {
+		t.lessLikely = lessLikelyParts(t.records)
 	}
-	return false
+	return t.lessLikely[r.Part]
 }
 
 // RecordAnswer records that an endpoint began to respond to a request with the parts.
@@ -163,10 +189,10 @@
 			cleared = append(cleared, r)
 		}
 		r.LastAnswer = now
-		t.records[part] = r
+		t.store(r)
 	}
 	t.mu.Unlock()
-	for _, r := range cleared {
+	for _, r := range cleared[:min(maxChanges, len(cleared))] {
 		t.onChange(Cleared{Record: r})
 	}
 }
@@ -187,11 +213,10 @@
 	var suspected []Record
 	t.mu.Lock()
 	t.expire(now)
-	candidates := t.candidates(c.Parts)
 	// A request that has waited longer is likelier to be the one to which the endpoint was
 	// about to respond, and a later part of its prompt to be new.
 	likelihood := c.Waited.Seconds()
-	for _, part := range slices.Backward(candidates) {
+	for _, part := range slices.Backward(t.candidates(c.Parts)) {
 		before := t.records[part]
 		after := merge(before, Record{
 			Part: part, LastCrash: now, LastAnswer: t.answered.last(part, now), Block: firstBlock,
@@ -200,7 +225,7 @@
 		if before.suspected() && !sameEvent(before.LastCrash, now) {
 			after.Block = min(blockFactor*before.Block, maxBlock)
 		}
-		t.records[part] = after
+		t.store(after)
 		if !after.suspected() {
 			continue
 		}
@@ -209,13 +234,14 @@
 			suspected = append(suspected, after)
 		}
 	}
+	t.trim()
 	recalled := t.recallable(suspected)
 	t.mu.Unlock()
 	for _, w := range recalled {
 		w.recall()
 	}
-	for _, r := range suspected {
-		t.onChange(Suspected{Record: r})
+	for _, r := range suspected[:min(maxChanges, len(suspected))] {
+		t.onChange(Suspected{Record: r, Parts: len(suspected)})
 	}
 }
 
@@ -234,7 +260,7 @@
 	return parts
 }
 
-// Records returns what other entries should know, with the latest crash first.
+// Records returns what other entries should know, with the most important record first.
 func (t *Tracker) Records() []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -243,46 +269,43 @@
 	for _, r := range t.records {
 		all = append(all, r)
 	}
-	slices.SortFunc(all, func(a, b Record) int {
-		if c := b.LastCrash.Compare(a.LastCrash); c != 0 {
-			return c
-		}
-		return strings.Compare(a.Part, b.Part)
-	})
+	slices.SortFunc(all, compareImportance)
 	return all
 }
 
 // Merge adds what another entry knows, and what this one knows of the same parts.
 func (t *Tracker) Merge(records []Record) {
 	now := time.Now()
-	var changes []Change
-	var suspected []Record
+	var suspected, cleared []Record
 	t.mu.Lock()
 	for _, r := range records {
 		known, ok := t.records[r.Part]
-		if r.expired(now) || (!ok && len(t.records) >= maxRecords) {
+		if r.expired(now) {
 			continue
 		}
 		if !ok {
 			known = Record{Part: r.Part, LastAnswer: t.answered.last(r.Part, now)}
 		}
 		merged := merge(known, r)
-		t.records[r.Part] = merged
+		t.store(merged)
 		switch {
 		case merged.suspected() && !known.suspected():
 			suspected = append(suspected, merged)
-			changes = append(changes, Suspected{Record: merged, ByPeer: true})
 		case known.suspected() && !merged.suspected():
-			changes = append(changes, Cleared{Record: merged, ByPeer: true})
+			cleared = append(cleared, merged)
 		}
 	}
+	t.trim()
 	recalled := t.recallable(suspected)
 	t.mu.Unlock()
 	for _, w := range recalled {
 		w.recall()
 	}
-	for _, c := range changes {
-		t.onChange(c)
+	for _, r := range suspected[:min(maxChanges, len(suspected))] {
+		t.onChange(Suspected{Record: r, Parts: len(suspected), ByPeer: true})
+	}
+	for _, r := range cleared[:min(maxChanges, len(cleared))] {
+		t.onChange(Cleared{Record: r, ByPeer: true})
 	}
 }
 
@@ -297,18 +320,25 @@
 	return suspected
 }
 
-// expire removes old records, and the one with the oldest crash if there are too many. The
-// caller must hold mu.
+// expire removes old records. The caller must hold mu.
 func (t *Tracker) expire(now time.Time) {
-	oldest := ""
 	for part, r := range t.records {
 		if r.expired(now) {
 			delete(t.records, part)
-		} else if oldest == "" || r.LastCrash.Before(t.records[oldest].LastCrash) {
-			oldest = part
+			t.lessLikely = nil
 		}
 	}
-	if len(t.records) >= maxRecords {
-		delete(t.records, oldest)
+}
+
+// trim removes the least important records if there are too many. It removes several, so
+// that it need not sort them for each new one. The caller must hold mu.
+func (t *Tracker) trim() {
+	if len(t.records) <= maxRecords {
+		return
+	}
+	all := slices.SortedFunc(maps.Values(t.records), compareImportance)
+	for _, r := range all[maxRecords-maxRecords/8:] {
+		delete(t.records, r.Part)
 	}
+	t.lessLikely = nil
 }
--- a/internal/request/quarantine/quarantine_test.go
+++ b/internal/request/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -117,6 +118,58 @@
 	})
 }
 
+// numbered returns the names of many parts.
+func numbered(prefix string, n int) []string {
+	parts := make([]string, n)
+	for i := range parts {
+		parts[i] = fmt.Sprint(prefix, i)
+	}
+	return parts
+}
+
+func TestManyParts(t *testing.T) {
+	const many = 4000
+	test(t, "are suspected whatever their number and place", func(g Gomega) {
+		for _, place := range []int{0, 64, many / 2, many - 1} {
+			e := newTestEntry("a")
+			sound := numbered("sound", many)
+			e.RecordAnswer(sound)
+			time.Sleep(time.Second)
+			e.crash("e1", waited, slices.Insert(slices.Clone(sound), place, "bad")...)
+			g.Expect(e.allows("bad")).To(BeFalse())
+			g.Expect(e.allows(sound...)).To(BeTrue())
+		}
+	})
+	test(t, "without an answer are all suspected, most the last one, and reported shortly", func(g Gomega) {
+		e := newTestEntry("a")
+		parts := numbered("new", many)
+		e.crash("e1", waited, parts...)
+		for _, part := range parts {
+			g.Expect(e.allows(part)).To(BeFalse())
+		}
+		g.Expect(e.suspected).To(Equal(maxChanges))
+		time.Sleep(2 * shortBlock)
+		g.Expect(e.allows(parts[0])).To(BeTrue())
+		g.Expect(e.allows(parts[many-1])).To(BeFalse())
+	})
+	test(t, "are told to others, the likeliest first", func(g Gomega) {
+		a, b := newTestEntry("a"), newTestEntry("b")
+		a.crash("e1", waited, numbered("new", many)...)
+		g.Expect(a.Records()[0].Part).To(Equal(fmt.Sprint("new", many-1)))
+		exchange(a, b, time.Millisecond)
+		g.Expect(b.allows("new0")).To(BeFalse())
+	})
+	test(t, "of several crashes leave the last ones if there are too many", func(g Gomega) {
+		e := newTestEntry("a")
+		for i := range 4 {
+			e.crash(fmt.Sprint("e", i), waited, numbered(fmt.Sprint("crash", i, "-"), many)...)
+			time.Sleep(time.Second)
+		}
+		g.Expect(len(e.Records())).To(BeNumerically("<=", maxRecords))
+		g.Expect(e.allows("crash3-0")).To(BeFalse())
+	})
+}
+
 func TestTrial(t *testing.T) {
 	// due returns an entry whose block of the part "bad" is over.
 	due := func() *testEntry {
@@ -235,7 +288,23 @@
 	for i := range 20 {
 		t.RecordCrash(Crash{Endpoint: "e", Parts: []string{fmt.Sprint("bad", i)}, Waited: waited})
 	}
-	parts := []string{"one", "two", "three"}
+	benchmarkRequests(b, t, []string{"one", "two", "three"})
+}
+
+// BenchmarkSuspectedRequest measures the same about a request with thousands of suspected
+// parts.
+func BenchmarkSuspectedRequest(b *testing.B) {
+	t := NewTracker("a", func(Change) {})
+	parts := numbered("bad", 4000)
+	t.RecordCrash(Crash{Endpoint: "e", Parts: parts, Waited: waited})
+	b.ResetTimer()
+	for b.Loop() {
+		t.Decide(parts)
+		t.Wait(parts, func() {}).End()
+	}
+}
+
+func benchmarkRequests(b *testing.B, t *Tracker, parts []string) {
 	for b.Loop() {
 		t.Decide(parts)
 		t.BeginTrial(parts)
--- a/internal/request/quarantine/record.go
+++ b/internal/request/quarantine/record.go
@@ -1,7 +1,9 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -98,3 +100,53 @@
 	}
 	return events
 }
+
+// compareImportance orders records by their use to an entry that can keep or send only some:
+// suspected parts first, of these the last crashes, of one crash the likeliest.
+func compareImportance(a, b Record) int {
+	switch {
+	case a.suspected() && !b.suspected():
+		return -1
+	case b.suspected() && !a.suspected():
+		return 1
+	case !a.LastCrash.Equal(b.LastCrash):
+		return b.LastCrash.Compare(a.LastCrash)
+	case a.Likelihood != b.Likelihood:
+		return cmp.Compare(b.Likelihood, a.Likelihood)
+	}
+	return strings.Compare(a.Part, b.Part)
+}
+
+// lessLikelyParts returns the suspected parts that are less likely than another one to have
+// caused the same crash.
+func lessLikelyParts(records map[string]Record) map[string]bool {
+	byEndpoint := map[string][]Record{}
+	for _, r := range records {
+		if r.suspected() {
+			byEndpoint[r.Endpoint] = append(byEndpoint[r.Endpoint], r)
+		}
+	}
+	less := map[string]bool{}
+	for _, suspects := range byEndpoint {
+		slices.SortFunc(suspects, func(a, b Record) int { return a.LastCrash.Compare(b.LastCrash) })
+		// window holds the suspects of the same crash as r that no later one in it exceeds in
+		// likelihood, so that its first is the likeliest.
+		var window []Record
+		next := 0
+		for _, r := range suspects {
+			for ; next < len(suspects) && (!suspects[next].LastCrash.After(r.LastCrash) || sameEvent(suspects[next].LastCrash, r.LastCrash)); next++ {
+				for len(window) > 0 && window[len(window)-1].Likelihood <= suspects[next].Likelihood {
+					window = window[:len(window)-1]
+				}
+				window = append(window, suspects[next])
+			}
+			for !sameEvent(window[0].LastCrash, r.LastCrash) {
+				window = window[1:]
+			}
+			if r.Likelihood < lessLikely*window[0].Likelihood {
+				less[r.Part] = true
+			}
+		}
+	}
+	return less
+}
--- a/internal/request/quarantine/waiting.go
+++ b/internal/request/quarantine/waiting.go
@@ -1,5 +1,7 @@
 package quarantine
 
+import "slices"
+
 // Waiting is a request at an endpoint that has not begun to respond.
 type Waiting struct {
 	tracker *Tracker
@@ -14,38 +16,36 @@
 	w := &Waiting{tracker: t, parts: parts, recall: recall}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, part := range parts {
-		if t.waiting[part] == nil {
-			t.waiting[part] = map[*Waiting]bool{}
-		}
-		t.waiting[part][w] = true
-	}
+	t.waiting[w] = true
 	return w
 }
 
 // End ends the wait. It may be called more than once.
 func (w *Waiting) End() {
-	t := w.tracker
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, part := range w.parts {
-		delete(t.waiting[part], w)
-		if len(t.waiting[part]) == 0 {
-			delete(t.waiting, part)
-		}
-	}
+	w.tracker.mu.Lock()
+	defer w.tracker.mu.Unlock()
+	delete(w.tracker.waiting, w)
 }
 
 // recallable returns the waiting requests with one of the suspected parts. Parts that are
 // less likely the cause than others of the same crash do not count. The caller must hold
 // mu.
 func (t *Tracker) recallable(suspected []Record) []*Waiting {
-	var recallable []*Waiting
+	if len(t.waiting) == 0 {
+		return nil
+	}
+	likely := map[string]bool{}
 	for _, r := range suspected {
-		if t.isLessLikely(r) {
-			continue
+		if !t.isLessLikely(r) {
+			likely[r.Part] = true
 		}
-		for w := range t.waiting[r.Part] {
+	}
+	if len(likely) == 0 {
+		return nil
+	}
+	var recallable []*Waiting
+	for w := range t.waiting {
+		if slices.ContainsFunc(w.parts, func(part string) bool { return likely[part] }) {
 			recallable = append(recallable, w)
 		}
 	}
--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -54,6 +54,8 @@
 without "a response clears a prompt part" $quarantine/quarantine.go 's/r.LastAnswer = now/_ = now/' ./$quarantine ""
 without "two crashes without a response make a prompt part suspect" $quarantine/record.go 's/return r.LastAnswer.Before\(r.PreviousCrash\)/return false/' ./$quarantine ""
 without "one trial at a time" $quarantine/quarantine.go 's/, r.LastTrial.Add\(trialTime\).Sub\(now\)/, 0/' ./$quarantine ""
+without "all parts of a prompt are read" platform/callerdialect.go 's/id = strings.TrimSpace\(id\); id != ""/id = strings.TrimSpace(id); id != "" \&\& len(shared) < 64/' ./internal/process/entry "behind any number"
+without "the likeliest prompt parts are told first" $quarantine/record.go 's/case a.Likelihood != b.Likelihood:/case false:/' ./$quarantine ""
 without "less likely prompt parts are blocked shortly" $quarantine/quarantine.go 's/ \&\& t.isLessLikely\(r\)/ \&\& false/' ./$quarantine ""
 without "a crash that several entries notice counts once" $quarantine/record.go 's/eventTolerance = 2 \* time.Second/eventTolerance = 0/' ./$quarantine ""
 without "suspected requests are taken back from endpoints" $quarantine/waiting.go 's/recallable = append\(recallable, w\)/_ = w/' ./internal/process/entry "prompt part that crashes"
