--- a/internal/process/entry/deployment_test.go
+++ b/internal/process/entry/deployment_test.go
@@ -122,7 +122,8 @@
 
 // announce writes the row of an endpoint to the store.
 func (d *deployment) announce(name, group, domain, address string, change func(map[string]any)) {
-	row := map[string]any{"service": group, "address": address, "zone": domain, "slots": 12, "state": "ready", "born": 1}
+	row := map[string]any{"service": group, "address": address, "zone": domain, "slots": 12, "state": "ready",
+		"version": "v1", "cold_remaining_ms": 0, "sequence": 1, "born": 1}
 	if change != nil {
 		change(row)
 	}
--- a/internal/process/entry/intent_test.go
+++ b/internal/process/entry/intent_test.go
@@ -286,10 +286,11 @@
 		})
 	},
 		Entry("truncated", `{"service":"desk","addr`),
-		Entry("unknown state", `{"service":"desk","address":"10.1.1.1:1","zone":"a","slots":3,"state":"sleeping","born":1}`),
-		Entry("wrong type", `{"service":7,"address":"10.1.1.1:1","zone":"a","slots":3,"state":"ready","born":1}`),
-		Entry("invalid address", `{"service":"desk","address":"nowhere","zone":"a","slots":3,"state":"ready","born":1}`),
-		Entry("unknown service", `{"service":"unheard","address":"10.1.1.1:1","zone":"a","slots":3,"state":"ready","born":1}`),
+		Entry("unknown state", `{"service":"desk","address":"10.1.1.1:1","zone":"a","slots":3,"state":"sleeping","version":"v1","cold_remaining_ms":0,"sequence":1,"born":1}`),
+		Entry("wrong type", `{"service":7,"address":"10.1.1.1:1","zone":"a","slots":3,"state":"ready","version":"v1","cold_remaining_ms":0,"sequence":1,"born":1}`),
+		Entry("invalid address", `{"service":"desk","address":"nowhere","zone":"a","slots":3,"state":"ready","version":"v1","cold_remaining_ms":0,"sequence":1,"born":1}`),
+		Entry("unknown service", `{"service":"unheard","address":"10.1.1.1:1","zone":"a","slots":3,"state":"ready","version":"v1","cold_remaining_ms":0,"sequence":1,"born":1}`),
+		Entry("fields missing", `{"service":"desk","address":"10.1.1.1:1","zone":"a","slots":3,"state":"ready"}`),
 		Entry("not an object", `[]`), Entry("empty", ``))
 
 	It("are used again under their name after a restart", func() {
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -276,7 +276,8 @@
 
 // announce writes the row by which an endpoint announces itself.
 func (d *deployment) announce(n *endpointNode) {
-	row := map[string]any{"service": n.group, "address": n.relay.Address(), "zone": n.failureDomain, "slots": 12, "state": "ready", "born": n.born}
+	row := map[string]any{"service": n.group, "address": n.relay.Address(), "zone": n.failureDomain, "slots": 12, "state": "ready",
+		"version": "v1", "cold_remaining_ms": 0, "sequence": 1, "born": n.born}
 	if n.draining {
 		row["state"] = "draining"
 	}
--- a/scripts/demo-platform.sh
+++ b/scripts/demo-platform.sh
@@ -43,10 +43,10 @@
 }
 configuration 3 1000 | put op/config
 for i in 0 1 2 3; do
-  printf '{"service":"models","address":"%s","zone":"%s","slots":12,"state":"ready","born":1,"group":{"name":"g","epoch":1,"rank":%s,"state":"open"},"size":4}' "${ranks[$i]}" "$( ((i < 2)) && echo a || echo b)" "$i" | put "servers/rank-$i"
+  printf '{"service":"models","address":"%s","zone":"%s","slots":12,"state":"ready","version":"v1","cold_remaining_ms":0,"sequence":1,"born":1,"group":{"name":"g","epoch":1,"rank":%s,"state":"open"},"size":4}' "${ranks[$i]}" "$( ((i < 2)) && echo a || echo b)" "$i" | put "servers/rank-$i"
 done
 for i in 0 1 2; do
-  printf '{"service":"desk","address":"%s","zone":"%s","slots":6,"state":"ready","born":1}' "${desks[$i]}" "$( ((i < 1)) && echo a || echo b)" | put "servers/desk-$i"
+  printf '{"service":"desk","address":"%s","zone":"%s","slots":6,"state":"ready","version":"v1","cold_remaining_ms":0,"sequence":1,"born":1}' "${desks[$i]}" "$( ((i < 1)) && echo a || echo b)" | put "servers/desk-$i"
 done
 
 entries=(); peers=(); opses=()
