Send paths that begin with two slashes unchanged

Cause: Client.Do put the target into url.URL.Opaque, and net/http writes an opaque part that begins with two slashes with the scheme before it.

Ruled out: Path and RawPath for all targets. net/http escapes a path again that holds characters that should be escaped, and such targets pass unchanged today.

Change: a target that begins with two slashes is sent as Path and RawPath. Where net/http would change it (two slashes, and characters that must be escaped but are not), the entry refuses the request with 400 before an attempt. The URL of a call no longer depends on whether the target can be parsed after the address.

--- a/internal/connection/caller/request.go
+++ b/internal/connection/caller/request.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/cicadareel/cicadareel/internal/connection/endpoint"
 	"github.com/cicadareel/cicadareel/internal/outcome"
 	"github.com/cicadareel/cicadareel/internal/request/admission"
 	"github.com/cicadareel/cicadareel/internal/request/balancer"
@@ -77,6 +78,9 @@
 	if err := q.findRoute(b, r.URL.Path, metadata.Token); err != nil {
 		return q, err
 	}
+	if !endpoint.CanSend(q.target) {
+		return q, &InvalidRequestError{outcome.Malformed, "escape the characters of the path"}
+	}
 	q.deadline = now.Add(q.route.Timeout)
 	if metadata.Timeout > 0 {
 		q.deadline = now.Add(min(metadata.Timeout, q.route.Timeout))
--- a/internal/connection/endpoint/endpoint.go
+++ b/internal/connection/endpoint/endpoint.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
-	"net/url"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -42,7 +41,7 @@
 	Method string
 	// Host is the caller's Host header field; empty for the endpoint's address.
 	Host string
-	// Target is the path and query, escaped as the caller sent them.
+	// Target is the path and query, escaped as the caller sent them; CanSend holds for it.
 	Target string
 	Header http.Header
 	Body   []byte
@@ -142,12 +141,15 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+c.address.String()+call.Target, newBody(call.Body))
+	target, ok := requestURL(c.address, call.Target)
+	if !ok {
+		return nil, &CallError{NeverSent: true, Cause: &InvalidTargetError{Target: call.Target}}
+	}
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+c.address.String()+"/", newBody(call.Body))
 	if err != nil {
 		return nil, &CallError{NeverSent: true, Cause: err}
 	}
-	// Opaque keeps the caller's escaping of the target unchanged.
-	req.URL = &url.URL{Scheme: req.URL.Scheme, Host: req.URL.Host, Opaque: call.Target}
+	req.URL = target
 	req.Host = call.Host
 	req.Header = call.Header
 	req.ContentLength = int64(len(call.Body))
--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -107,6 +107,7 @@
 without "a feed does not continue in another era" internal/connection/store/follower.go 's/if d.Revision.Era != since.Era \{/if false {/' ./$entry "hides no change"
 without "changes of one row in one response apply in order" platform/store.go 's/case last\[r.Key\] != i:/case last[r.Key] < i:/' ./platform ""
 without "rows of endpoints have every field" platform/rows.go 's/if !s.isComplete\(\)/if s.Service == nil || s.Address == nil || s.Zone == nil || s.Slots == nil || s.State == nil || s.ColdRemainingMs == nil || s.Born == nil/' ./platform ""
+without "targets with two slashes are sent as they are" internal/connection/endpoint/target.go 's/if !strings.HasPrefix\(target, "\/\/"\)/if !strings.HasPrefix(target, "?")/' ./$entry "reaches the endpoint unchanged"
 without "pages of a table belong to one era" platform/store.go 's/case a.era != out.Revision.Era:/case false:/' ./platform ""
 without "rereads that do not help wait" internal/connection/store/follower.go 's/if rereads == 1 \{/if true {/' ./$entry "keeps no history"
 without "fencing tokens rise with the era" internal/connection/store/lease.go 's/k.acquiredRevision.Era\*tokensPerEra \+ //' ./internal/connection/store ""
