Select the route by the path as it was sent

Cause: findRoute used the path that net/http had decoded, while the request is forwarded as it was sent.

Ruled out: decoding all but the slash. PROTOCOL.md selects the prefix that begins the path, and forwards the path unchanged; an encoded letter does not begin a path that has the letter. An endpoint that decodes a path differently decides for itself.

Change: the path is that of the target, escapes included. This holds for the prefixes of a bundle too (docs/CONFIGURATION.md).

Conclusion: route and request use the same path.

--- a/internal/connection/caller/request.go
+++ b/internal/connection/caller/request.go
@@ -48,7 +48,8 @@
 	priorWait time.Duration
 	method    string
 	host      string
-	target    string
+	// target is the path and query, escaped as the caller sent them.
+	target string
 	// header holds the fields to be forwarded.
 	header http.Header
 	body   []byte
@@ -75,7 +76,7 @@
 	if err != nil {
 		return q, err
 	}
-	if err := q.findRoute(b, r.URL.Path, metadata.Token); err != nil {
+	if err := q.findRoute(b, metadata.Token); err != nil {
 		return q, err
 	}
 	if !endpoint.CanSend(q.target) {
@@ -99,7 +100,8 @@
 }
 
 // findRoute sets the request's route, client account and group.
-func (q *request) findRoute(b *bundle.Bundle, path, token string) error {
+func (q *request) findRoute(b *bundle.Bundle, token string) error {
+	path, _, _ := strings.Cut(q.target, "?")
 	q.route = b.Route(q.host, path)
 	q.account = b.AccountByToken(token)
 	if q.route != nil && q.route.Anonymous && q.account == nil {
--- a/internal/process/entry/target_test.go
+++ b/internal/process/entry/target_test.go
@@ -74,4 +74,19 @@
 			Expect(targetsOf(desk)).To(Equal([]string{"/a"}))
 		})
 	})
+
+	DescribeTable("selects the route as it was sent", func(target string, leadsToOther bool) {
+		withCatchAll(func(e *testEntry, desk, other *standin.Worker) {
+			expected, elsewhere := desk, other
+			if leadsToOther {
+				expected, elsewhere = other, desk
+			}
+			Expect(e.callTarget(target, "r1")).To(Equal(http.StatusOK))
+			Expect(targetsOf(expected)).To(Equal([]string{target}))
+			Expect(elsewhere.Runs()).To(BeEmpty())
+		})
+	},
+		Entry("slash", "/other/1f", true), Entry("query", "/other/?/x", true), Entry("encoded slash behind the prefix", "/other/%2F1f", true),
+		Entry("encoded slash", "/other%2F1f", false), Entry("encoded slash in lower case", "/other%2f1f", false),
+		Entry("encoded letter", "/%6fther/1f", false), Entry("slash in the query", "/other?/", false))
 })
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -110,7 +110,8 @@
 	Name string `toml:"name"`
 	// Host is the host that requests must name; empty for any.
 	Host string `toml:"host"`
-	// Path is an absolute path; it matches itself and everything below it.
+	// Path is an absolute path, escaped as in requests; it matches itself and
+	// everything below it.
 	Path string `toml:"path"`
 	// Group names an existing group. It is empty if Shares is set.
 	Group string `toml:"group"`
@@ -243,7 +244,8 @@
 }
 
 // Route returns the route with the longest path that matches, or nil. Routes of
-// the host take precedence over routes for any host.
+// the host take precedence over routes for any host. The path is escaped as in the
+// request: an encoded slash is part of a segment.
 func (b *Bundle) Route(host, path string) *Route {
 	for _, routes := range [][]*Route{b.index.routes[host], b.index.routes[""]} {
 		for _, r := range routes {
