Send requests in absolute form to endpoints in origin form

What callers saw: a request with the target "http://host/path", which HTTP/1.1 servers must accept, was refused with 503.

Cause: the target was put after the endpoint's address, and the result is no URL. Client.Do reported that as a call that was never sent, which counts as an endpoint that accepts no connections: the endpoint is ejected, and with a rank its whole group is taken for broken.

Ruled out: sending the absolute form on. The endpoint would take host and path from it and is not that host.

Change: the entry takes scheme and host off the target. A target without a path ("*", "mailto:a") matches no route.

Conclusion: no target makes an entry take an endpoint for gone.

--- a/internal/connection/caller/request.go
+++ b/internal/connection/caller/request.go
@@ -72,7 +72,7 @@
 // request that it returns with an error is incomplete but has its id.
 func readRequest(w http.ResponseWriter, r *http.Request, b *bundle.Bundle, d Dialect, now time.Time) (*request, error) {
 	metadata, err := d.ParseRequest(r)
-	q := &request{id: metadata.RequestID, version: b.Version, started: now, method: r.Method, host: r.Host, target: r.RequestURI}
+	q := &request{id: metadata.RequestID, version: b.Version, started: now, method: r.Method, host: r.Host, target: originForm(r.RequestURI)}
 	if err != nil {
 		return q, err
 	}
--- a/internal/process/entry/target_test.go
+++ b/internal/process/entry/target_test.go
@@ -89,4 +89,21 @@
 		Entry("slash", "/other/1f", true), Entry("query", "/other/?/x", true), Entry("encoded slash behind the prefix", "/other/%2F1f", true),
 		Entry("encoded slash", "/other%2F1f", false), Entry("encoded slash in lower case", "/other%2f1f", false),
 		Entry("encoded letter", "/%6fther/1f", false), Entry("slash in the query", "/other?/", false))
+
+	It("is sent in origin form if the caller uses absolute form", func() {
+		withCatchAll(func(e *testEntry, desk, _ *standin.Worker) {
+			for i, target := range []string{"http://" + hostName + "/a%2F?x=1", "http://" + hostName, "http://" + hostName + "?y"} {
+				Expect(e.callTarget(target, fmt.Sprint("r", i))).To(Equal(http.StatusOK))
+			}
+			Expect(e.callTarget("/a", "r9")).To(Equal(http.StatusOK))
+			Expect(targetsOf(desk)).To(Equal([]string{"/a%2F?x=1", "/", "/?y", "/a"}))
+		})
+	})
+
+	DescribeTable("matches no route if it has no path", func(target string) {
+		withCatchAll(func(e *testEntry, desk, _ *standin.Worker) {
+			Expect(e.callTarget(target, "r1")).To(Equal(http.StatusNotFound))
+			Expect(targetsOf(desk)).To(BeEmpty())
+		})
+	}, Entry("asterisk", "*"), Entry("scheme only", "mailto:a"), Entry("no authority", "http:/a"))
 })
