--- a/internal/connection/caller/request.go
+++ b/internal/connection/caller/request.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/cicadareel/cicadareel/internal/connection/endpoint"
 	"github.com/cicadareel/cicadareel/internal/outcome"
 	"github.com/cicadareel/cicadareel/internal/request/admission"
 	"github.com/cicadareel/cicadareel/internal/request/balancer"
@@ -47,7 +48,8 @@
 	priorWait time.Duration
 	method    string
 	host      string
-	target    string
+	// target is the path and query, escaped as the caller sent them.
+	target string
 	// header holds the fields to be forwarded.
 	header http.Header
 	body   []byte
@@ -70,13 +72,16 @@
 // request that it returns with an error is incomplete but has its id.
 func readRequest(w http.ResponseWriter, r *http.Request, b *bundle.Bundle, d Dialect, now time.Time) (*request, error) {
 	metadata, err := d.ParseRequest(r)
-	q := &request{id: metadata.RequestID, version: b.Version, started: now, method: r.Method, host: r.Host, target: r.RequestURI}
+	q := &request{id: metadata.RequestID, version: b.Version, started: now, method: r.Method, host: r.Host, target: originForm(r.RequestURI)}
 	if err != nil {
 		return q, err
 	}
-	if err := q.findRoute(b, r.URL.Path, metadata.Token); err != nil {
+	if err := q.findRoute(b, metadata.Token); err != nil {
 		return q, err
 	}
+	if !endpoint.CanSend(q.target) {
+		return q, &InvalidRequestError{outcome.Malformed, "escape the characters of the path"}
+	}
 	q.deadline = now.Add(q.route.Timeout)
 	if metadata.Timeout > 0 {
 		q.deadline = now.Add(min(metadata.Timeout, q.route.Timeout))
@@ -95,7 +100,8 @@
 }
 
 // findRoute sets the request's route, client account and group.
-func (q *request) findRoute(b *bundle.Bundle, path, token string) error {
+func (q *request) findRoute(b *bundle.Bundle, token string) error {
+	path, _, _ := strings.Cut(q.target, "?")
 	q.route = b.Route(q.host, path)
 	q.account = b.AccountByToken(token)
 	if q.route != nil && q.route.Anonymous && q.account == nil {
