Start one process for overlapping restarts in the soak

Cause: two restarts of one entry that ended at the same time both saw that the incarnation had not changed, since startEntry raised it after it had started the process. The second process found its port in use and exited. The entry was not at fault. Beside it, the note that an exit is expected was made after the process was looked up, and could apply to the next process, whose own unexpected exit would then have been missed.

Change: the check of the incarnation, the start and the raise are one step under the entry's mutex, and so are the look-up and the note. No check is weakened.

Conclusion: a restart starts one process.

--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -148,7 +148,7 @@
 	d.entries = append(d.entries, e)
 	e.settings = filepath.Join(d.dir, e.name+".toml")
 	d.must(os.WriteFile(e.settings, []byte(d.settingsText(i)), 0o600))
-	d.startEntry(e)
+	d.startEntry(e, 0)
 }
 
 // settingsText returns the settings file of entry i.
@@ -176,15 +176,19 @@
 `, e.name, string("ab"[i%2]), e.caller, e.peer, e.ops, d.entries[0].peer, d.entries[i/2].peer, e.store.Address(), shutdownGrace.Milliseconds())
 }
 
-// startEntry starts a new process of an entry.
-func (d *deployment) startEntry(e *entryNode) {
+// startEntry starts the process of an entry that follows the one with the number. If
+// another restart has started it already, it does nothing.
+func (d *deployment) startEntry(e *entryNode, after int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.incarnation != after {
+		return
+	}
 	c, err := standin.StartChild(filepath.Join(d.dir, e.name+".log"), filepath.Join(d.bin, "cicadareel"), "entry", "--settings", e.settings)
 	if err != nil {
 		d.t.Error(err)
 		return
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.child, e.exitExpected = c, false
 	e.incarnation++
 }
@@ -196,11 +200,13 @@
 	return e.child, e.incarnation
 }
 
-// expectExit notes that the soak is about to end the process.
-func (e *entryNode) expectExit() {
+// expectExit returns the entry's current process and its incarnation, and notes that the
+// soak is about to end it.
+func (e *entryNode) expectExit() (*standin.Child, int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.exitExpected = true
+	return e.child, e.incarnation
 }
 
 // exitedUnexpectedly reports whether the process exited although the soak did not end it.
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -60,8 +60,7 @@
 func (in *faultInjector) restart() fault {
 	e, kill := in.entry(), in.random.IntN(2) == 0
 	return fault{name: fmt.Sprintf("restart %s, kill %v", e.name, kill), waitsForExit: true, start: func() func() {
-		child, incarnation := e.current()
-		e.expectExit()
+		child, incarnation := e.expectExit()
 		if kill {
 			child.Kill()
 		} else {
@@ -74,9 +73,7 @@
 				in.deployment.t.Errorf("%s did not exit within %v", e.name, shutdownGrace+stateTimeout)
 				return
 			}
-			if _, current := e.current(); current == incarnation {
-				in.deployment.startEntry(e)
-			}
+			in.deployment.startEntry(e, incarnation)
 		}
 	}}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -167,9 +167,8 @@
 // response.
 func (d *deployment) checkGracefulShutdown(c *clients) []string {
 	e := d.entries[0]
-	child, incarnation := e.current()
+	child, incarnation := e.expectExit()
 	began := time.Now()
-	e.expectExit()
 	_ = child.Signal(syscall.SIGTERM)
 	select {
 	case <-child.Exited():
