Do not use a dropped row again because another entry learns of its removal late

Cause: a row was removed while an entry was frozen. The calm entries dropped the endpoint at once. To the waking entry, whose first call to the store failed and whose first copy was not authoritative, the removal counted as one in an outage, and the row became a lapsed row for 2.2 s. Its copy had the highest revision, and the calm entries took the lapsed row from it as it was (Mirror.Replace). A second case of the same kind came out of the property test: a lapsed row also replaced a later content of the row, such as that of the endpoint's next start.

Ruled out: dropping lapsed rows at every entry that reaches the store. An entry whose long poll outlasts a short outage has seen no failed call, and would drop all rows that the outage removed.

Change: a lapsed row of another copy is used only if this copy still uses the row or has not known it, and never with an older content. The grace period of the waking entry itself stays: PROTOCOL.md gives such rows about two seconds.

Conclusion: what an entry has dropped stays dropped until it is written again.

--- a/internal/version/mirror/mirror.go
+++ b/internal/version/mirror/mirror.go
@@ -248,6 +248,7 @@
 	if c.known && !s.Revision.After(c.revision) || !s.Complete() && (!c.known || s.Since.After(c.revision)) {
 		return false
 	}
+	lapsed := c.acceptLapsed(s.Lapsed)
 	restored := c.known && s.Revision.Era > c.revision.Era
 	if restored {
 		m.recordRestore(c)
@@ -277,7 +278,7 @@
 			m.removeRow(t, key)
 		}
 	}
-	for _, l := range s.Lapsed {
+	for _, l := range lapsed {
 		c.lapsed[l.Row.Key] = timed{row: l.Row, until: time.Now().Add(l.Remaining)}
 	}
 	c.applyWithheld(s)
@@ -286,6 +287,27 @@
 	return true
 }
 
+// acceptLapsed returns the lapsed rows of a newer snapshot that the copy is to use, before
+// it takes over the snapshot. Another process may learn of removals later than this one:
+// a row that the copy has dropped does not come back, nor does an older content of a row.
+func (c *topicCopy) acceptLapsed(lapsed []TimedRow) []TimedRow {
+	var accepted []TimedRow
+	for _, l := range lapsed {
+		known, inUse := c.rows[l.Row.Key]
+		if before, ok := c.lapsed[l.Row.Key]; !inUse && ok {
+			known, inUse = before.row, true
+		}
+		switch dropped := c.known && !inUse && !l.Row.After(c.revision); {
+		case dropped:
+			continue
+		case inUse && known.After(l.Row.Revision):
+			l.Row = known
+		}
+		accepted = append(accepted, l)
+	}
+	return accepted
+}
+
 // missingFrom returns the keys of the copy's rows that a newer snapshot does not have
 // any more.
 func (c *topicCopy) missingFrom(s Snapshot) []string {
--- a/internal/version/mirror/mirror_test.go
+++ b/internal/version/mirror/mirror_test.go
@@ -104,6 +104,10 @@
 	lastFailure, lastRestore time.Time
 	// revisions are the revisions of the mirrors at the last check.
 	revisions [processes]table.Revision
+	// used has the rows in use at the last check, and dropped the rows that were in use
+	// before, with their revisions, since the era droppedEra began for the mirror.
+	used, dropped [processes]map[string]table.Revision
+	droppedEra    [processes]uint64
 	// violation describes the last violation found.
 	violation string
 }
@@ -233,6 +237,7 @@
 	}
 	s.revisions[i] = snapshot.Revision
 	s.checkLapsed(i, snapshot)
+	s.checkDropped(i, snapshot)
 	if s.lastRestore.IsZero() || time.Since(s.lastRestore) > restoreGrace {
 		s.checkRows(i, snapshot)
 	}
@@ -258,6 +263,31 @@
 	}
 }
 
+// checkDropped checks that a row that a mirror has dropped does not come back unless it
+// was written again or the store came back from a copy.
+func (s *simulation) checkDropped(i int, snapshot mirror.Snapshot) {
+	if s.dropped[i] == nil || snapshot.Revision.Era != s.droppedEra[i] {
+		s.dropped[i], s.droppedEra[i], s.used[i] = map[string]table.Revision{}, snapshot.Revision.Era, nil
+	}
+	used := map[string]table.Revision{}
+	for _, row := range snapshot.All() {
+		used[row.Key] = row.Revision
+		if at, ok := s.dropped[i][row.Key]; ok && !row.After(at) {
+			s.violation = fmt.Sprintf("process %d uses %s of revision %v again, which it had dropped", i, row.Key, row.Revision)
+		}
+	}
+	for key, revision := range s.used[i] {
+		if _, ok := used[key]; !ok {
+			s.dropped[i][key] = revision
+		}
+	}
+	// A withheld row is to be used later.
+	for _, w := range snapshot.Withheld {
+		delete(s.dropped[i], w.Row.Key)
+	}
+	s.used[i] = used
+}
+
 var _ = Describe("mirrors of a store", func() {
 	It("never go back, equal the store at their revision and drop lapsed rows after the grace period", func() {
 		rapid.Check(suite, func(t *rapid.T) {
@@ -348,4 +378,41 @@
 			Expect(remaining.All()).To(BeEmpty())
 		})
 	})
+
+	It("do not use a dropped row again that lapsed at a mirror that learned of the removal late", func() {
+		synctest.Test(suite, func(*testing.T) {
+			calm, waking := mirror.NewMirror(noOrder), mirror.NewMirror(noOrder)
+			row := table.Row{Key: "e", Revision: at(1)}
+			for _, m := range []*mirror.Mirror{calm, waking} {
+				m.RecordSuccess()
+				m.Replace(mirror.Endpoints, mirror.Snapshot{Rows: []table.Row{row}, Revision: at(1)})
+			}
+			time.Sleep(grace)
+			calm.Apply(mirror.Endpoints, mirror.Delta{Removed: []string{"e"}, Revision: at(2)})
+			waking.RecordFailure()
+			waking.Replace(mirror.Endpoints, mirror.Snapshot{Revision: at(3)})
+			snapshot, _ := waking.Snapshot(mirror.Endpoints)
+			Expect(snapshot.Lapsed).To(HaveLen(1))
+			Expect(calm.Replace(mirror.Endpoints, snapshot)).To(BeTrue())
+			remaining, _ := calm.Snapshot(mirror.Endpoints)
+			Expect(remaining.All()).To(BeEmpty())
+		})
+	})
+
+	DescribeTable("use a row that lapsed at another mirror if they have not dropped it", func(revision table.Revision, rows ...table.Row) {
+		m := mirror.NewMirror(noOrder)
+		if revision.Number > 0 {
+			m.Replace(mirror.Endpoints, mirror.Snapshot{Rows: rows, Revision: revision})
+		}
+		lapsed := mirror.TimedRow{Row: table.Row{Key: "e", Revision: at(5)}, Remaining: time.Second}
+		Expect(m.Replace(mirror.Endpoints, mirror.Snapshot{Lapsed: []mirror.TimedRow{lapsed}, Revision: at(9)})).To(BeTrue())
+		got, _ := m.Snapshot(mirror.Endpoints)
+		Expect(got.All()).To(HaveLen(1))
+		for _, row := range rows {
+			Expect(row.After(got.Lapsed[0].Row.Revision)).To(BeFalse(), "an older content comes back")
+		}
+	},
+		Entry("without a copy", at(0)), Entry("they still have it", at(6), table.Row{Key: "e", Revision: at(5)}),
+		Entry("they have a later content", at(7), table.Row{Key: "e", Revision: at(6)}),
+		Entry("it was written and removed later", at(4)), Entry("it was written again later", at(4), table.Row{Key: "e", Revision: at(3)}))
 })
--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -110,6 +110,7 @@
 without "targets with two slashes are sent as they are" internal/connection/endpoint/target.go 's/if !strings.HasPrefix\(target, "\/\/"\)/if !strings.HasPrefix(target, "?")/' ./$entry "reaches the endpoint unchanged"
 without "an encoded slash is part of a segment" internal/connection/caller/request.go 's/(path, _, _ := strings.Cut\(q.target, "\?"\))/\1; path = strings.ReplaceAll(path, "%2F", "\/")/' ./$entry "selects the route as it was sent"
 without "targets in absolute form are sent in origin form" internal/connection/caller/request.go 's/originForm\(r.RequestURI\)/r.RequestURI/' ./$entry "absolute form"
+without "dropped rows do not come back from a peer" internal/version/mirror/mirror.go 's/dropped := c.known/dropped := false/' ./internal/version/mirror "dropped row"
 without "pages of a table belong to one era" platform/store.go 's/case a.era != out.Revision.Era:/case false:/' ./platform ""
 without "rereads that do not help wait" internal/connection/store/follower.go 's/if rereads == 1 \{/if true {/' ./$entry "keeps no history"
 without "fencing tokens rise with the era" internal/connection/store/lease.go 's/k.acquiredRevision.Era\*tokensPerEra \+ //' ./internal/connection/store ""
