Acquire the lease anew in a later era of the store

A conditional write of the lease compares the number of the row without its era. Two tests show what follows: a write of before a restore succeeds late, or the copy has the claim of a holder that was cut off while another process took over. In both, the process with the claim went on with the revision of its first acquisition, and its fencing tokens were lower than those that others had issued: ranks would refuse all its orders while it renewed the lease.

Ruled out: an era in the condition. The protocol of the store has none, and the write is decided there. Giving the lease up when the era changes: the holder would be without it for a check interval after each restore.

Change: a process whose claim is in the row at a later era acquires the lease anew at that revision. Its tokens are then higher than all of the earlier era, and than those of a holder whose row was replaced in the present one.

In both, one process holds the lease in the end.

Conclusion: a late write can move the lease once, but not turn tokens back.

--- a/internal/connection/store/lease.go
+++ b/internal/connection/store/lease.go
@@ -213,7 +213,7 @@
 		k.otherClaim, k.otherSince = record.Claim, time.Now()
 	}
 	switch {
-	case own && !k.held():
+	case own && k.acquiresAt(row.Revision):
 		k.setHeld(row.Revision)
 	case !own && k.held():
 		k.acquiredRevision, k.claim = table.Revision{}, ""
@@ -222,6 +222,14 @@
 	return own
 }
 
+// acquiresAt reports whether this process acquires the lease at a revision at which the row
+// has its claim. In a later era it acquires the lease anew: the copy from which the store
+// came back, or a late write of before, may have put the claim back after another process
+// held the lease. The caller must hold mu.
+func (k *Lease) acquiresAt(revision table.Revision) bool {
+	return !k.held() || revision.Era > k.acquiredRevision.Era
+}
+
 // setHeld records that the lease was acquired. The caller must hold mu.
 func (k *Lease) setHeld(revision table.Revision) {
 	k.acquiredRevision, k.issuedTokens = revision, 0
@@ -262,7 +270,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.row, k.rowSeen = result.Row, time.Now()
-	if !k.held() {
+	if k.acquiresAt(result.Row.Revision) {
 		k.setHeld(result.Row.Revision)
 	}
 	return true
--- a/internal/connection/store/lease_test.go
+++ b/internal/connection/store/lease_test.go
@@ -15,6 +15,30 @@
 type leaseRow struct {
 	row    table.Row
 	latest table.Revision
+	// cut names the holder whose calls fail. Its last write is in late.
+	cut  string
+	late table.Write
+}
+
+// leaseClient is the store as one holder reaches it.
+type leaseClient struct {
+	*leaseRow
+	holder string
+}
+
+func (c leaseClient) GetLease(ctx context.Context, name string) (table.Row, error) {
+	if c.cut == c.holder {
+		return table.Row{}, &store.UnavailableError{Call: name, Cause: context.DeadlineExceeded}
+	}
+	return c.leaseRow.GetLease(ctx, name)
+}
+
+func (c leaseClient) PutLease(ctx context.Context, name string, w table.Write) (table.WriteResult, error) {
+	if c.cut == c.holder {
+		c.late = w
+		return table.WriteResult{}, &store.UnavailableError{Call: name, Cause: context.DeadlineExceeded}
+	}
+	return c.leaseRow.PutLease(ctx, name, w)
 }
 
 func (s *leaseRow) GetLease(context.Context, string) (table.Row, error) { return s.row, nil }
@@ -41,7 +65,7 @@
 		s := &leaseRow{latest: table.Revision{Era: 1, Number: 100}}
 		var started []*store.Lease
 		body(s, func(holder string) *store.Lease {
-			l := store.NewLease(ctx, s, "experts", holder, func() bool { return true }, events.NewLog("panic", holder))
+			l := store.NewLease(ctx, leaseClient{leaseRow: s, holder: holder}, "experts", holder, func() bool { return true }, events.NewLog("panic", holder))
 			started = append(started, l)
 			time.Sleep(5 * time.Second)
 			return l
@@ -98,3 +122,59 @@
 		}
 	})
 }
+
+// holders returns the leases that are held.
+func holders(leases ...*store.Lease) []*store.Lease {
+	var held []*store.Lease
+	for _, l := range leases {
+		if _, ok := l.Held(); ok {
+			held = append(held, l)
+		}
+	}
+	return held
+}
+
+// expectOneHolder checks that one process holds the lease and issues a token that is
+// higher than those before.
+func expectOneHolder(t *testing.T, than uint64, leases ...*store.Lease) {
+	t.Helper()
+	held := holders(leases...)
+	if len(held) != 1 {
+		t.Fatalf("%d processes hold the lease, want 1", len(held))
+	}
+	expectHigher(t, held[0].NextFencingToken(), than)
+}
+
+func TestFencingTokensRiseWhenTheCopyHasTheClaimOfAHolderThatWasCutOff(t *testing.T) {
+	withLease(t, func(s *leaseRow, start func(string) *store.Lease) {
+		a := start("a")
+		copied, at := s.row, s.latest.Number
+		s.cut = "a"
+		b := start("b")
+		highest := max(a.NextFencingToken(), b.NextFencingToken())
+		s.restore(copied, at)
+		s.cut = ""
+		time.Sleep(5 * time.Second)
+		expectOneHolder(t, highest, a, b)
+	})
+}
+
+func TestFencingTokensRiseWhenAWriteOfBeforeTheRestoreSucceedsLate(t *testing.T) {
+	withLease(t, func(s *leaseRow, start func(string) *store.Lease) {
+		a := start("a")
+		s.cut = "a"
+		time.Sleep(time.Second)
+		expected := s.late.Expect
+		// In the new era, another holder's row has the number that the late write expects.
+		s.restore(table.Row{}, expected-1)
+		b := start("b")
+		s.row.Number = expected
+		highest := b.NextFencingToken()
+		if result, _ := s.PutLease(t.Context(), "experts", s.late); !result.Applied {
+			t.Fatal("the late write did not succeed")
+		}
+		s.cut = ""
+		time.Sleep(5 * time.Second)
+		expectOneHolder(t, highest, a, b)
+	})
+}
--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -111,6 +111,7 @@
 without "an encoded slash is part of a segment" internal/connection/caller/request.go 's/(path, _, _ := strings.Cut\(q.target, "\?"\))/\1; path = strings.ReplaceAll(path, "%2F", "\/")/' ./$entry "selects the route as it was sent"
 without "targets in absolute form are sent in origin form" internal/connection/caller/request.go 's/originForm\(r.RequestURI\)/r.RequestURI/' ./$entry "absolute form"
 without "dropped rows do not come back from a peer" internal/version/mirror/mirror.go 's/dropped := c.known/dropped := false/' ./internal/version/mirror "dropped row"
+without "a lease is acquired anew in a later era" internal/connection/store/lease.go 's/return !k.held\(\) \|\| .*/return !k.held()/' ./internal/connection/store ""
 without "pages of a table belong to one era" platform/store.go 's/case a.era != out.Revision.Era:/case false:/' ./platform ""
 without "rereads that do not help wait" internal/connection/store/follower.go 's/if rereads == 1 \{/if true {/' ./$entry "keeps no history"
 without "fencing tokens rise with the era" internal/connection/store/lease.go 's/k.acquiredRevision.Era\*tokensPerEra \+ //' ./internal/connection/store ""
