Issue no fencing token that 64 bits cannot represent

Fencing tokens are era x 2^52, revision x 2^20 and a count. Now the token is 0 from then on, as when the lease is not held: ranks that have seen a token refuse it.

Read as floating point numbers, the tokens of two acquisitions still differ and rise, up to era 4,095; those of one acquisition may be equal, which no rank refuses. Ruled out by reading: revisions of 2^32 and more, which reach into the bits of the era. Their order holds unless a copy is 2^32 transactions old.

Evidence: TestNoFencingTokenIsIssuedThatCannotBeRepresented fails on the code before and passes now; the test with 53 bits passes on both.

--- a/internal/connection/store/lease.go
+++ b/internal/connection/store/lease.go
@@ -32,6 +32,8 @@
 	// tokensPerEra is the number of fencing tokens that the revisions of one era of the
 	// store can issue.
 	tokensPerEra = tokensPerLease << 32
+	// maxEras is the number of eras whose fencing tokens can be represented.
+	maxEras = 1 << 64 / tokensPerEra
 )
 
 // LeaseStore reads and writes the rows of leases, one for each lease.
@@ -108,7 +110,7 @@
 func (k *Lease) held() bool { return k.acquiredRevision != table.Revision{} }
 
 // NextFencingToken returns a fencing token that is higher than all earlier ones,
-// or 0 if the lease is not held.
+// or 0 if the lease is not held or no higher token can be represented.
 func (k *Lease) NextFencingToken() uint64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -116,7 +118,11 @@
 		return 0
 	}
 	k.issuedTokens++
-	return k.acquiredRevision.Era*tokensPerEra + k.acquiredRevision.Number*tokensPerLease + k.issuedTokens
+	r := k.acquiredRevision
+	if r.Era >= maxEras {
+		return 0
+	}
+	return r.Era*tokensPerEra + r.Number*tokensPerLease + k.issuedTokens
 }
 
 // IsCandidate reports whether this process tries to acquire the lease.
--- a/internal/connection/store/lease_test.go
+++ b/internal/connection/store/lease_test.go
@@ -178,3 +178,33 @@
 		expectOneHolder(t, highest, a, b)
 	})
 }
+
+// tokenAt returns a fencing token of a lease that is acquired after a revision.
+func tokenAt(t *testing.T, era, number uint64) uint64 {
+	t.Helper()
+	var token uint64
+	withLease(t, func(s *leaseRow, start func(string) *store.Lease) {
+		s.latest = table.Revision{Era: era, Number: number}
+		token = start("a").NextFencingToken()
+	})
+	return token
+}
+
+func TestFencingTokensRiseOverErasAlsoAsFloatingPointNumbers(t *testing.T) {
+	before := uint64(0)
+	for _, era := range []uint64{0, 1, 2, 3, 64, 4095} {
+		for _, number := range []uint64{7, 8, 1 << 31} {
+			token := tokenAt(t, era, number)
+			if float64(token) <= float64(before) {
+				t.Errorf("token %d at revision %d of era %d is not higher than %d, also with 53 bits", token, number, era, before)
+			}
+			before = token
+		}
+	}
+}
+
+func TestNoFencingTokenIsIssuedThatCannotBeRepresented(t *testing.T) {
+	if token := tokenAt(t, 4096, 7); token != 0 {
+		t.Errorf("token in era 4096 = %d, which is lower than those before; want none", token)
+	}
+}
