Keep hearing from known peers while the table of peers is full

With 4,096 peers, TableGossip.recordPeer dropped the news of known peers as well as those of new ones. All of them expired after 10 s, the entry asked its seeds again, and its share of limits and retries was that of a lone entry.

Change: only peers that are not known are left out of a full table.

--- a/internal/connection/peer/tablegossip.go
+++ b/internal/connection/peer/tablegossip.go
@@ -432,10 +432,10 @@
 func (g *TableGossip) recordPeer(p *wire.PeerInfo, age time.Duration) {
 	at, err := netip.ParseAddrPort(p.GetAddress())
 	heard := time.Now().Add(-max(0, age))
-	if err != nil || at == g.self.Address || age >= peerTTL || len(g.peers) >= maxPeers {
+	state, known := g.peers[at]
+	if err != nil || at == g.self.Address || age >= peerTTL || (!known && len(g.peers) >= maxPeers) {
 		return
 	}
-	state := g.peers[at]
 	if heard.After(state.lastHeard) {
 		state.instance, state.lastHeard, state.linkRate = p.GetInstance(), heard, p.GetLinkRate()
 		state.follows = p.GetFollows() && time.Since(state.lastFailed) >= unresponsiveTTL
