Exclude every endpoint that a request has tried

One request makes up to six attempts, but a query held the last four endpoints that were excluded. The sixth attempt could go again to the first endpoint, although others were left.

Change: a query holds five, and the bound on attempts follows from that.

Evidence: the new spec fails with four (falsify) and passes now.

--- a/internal/connection/caller/dispatch.go
+++ b/internal/connection/caller/dispatch.go
@@ -19,7 +19,7 @@
 const (
 	// maxTries bounds the attempts at one request, including those that put no
 	// load on an endpoint.
-	maxTries = 6
+	maxTries = balancer.MaxExcluded + 1
 	// deadlineGrace is how long after the deadline the entry waits for the
 	// sidecar's own refusal or the rest of a response before it seals the attempt.
 	deadlineGrace = 100 * time.Millisecond
--- a/internal/request/balancer/balancer_test.go
+++ b/internal/request/balancer/balancer_test.go
@@ -53,6 +53,19 @@
 		Expect(countPicks(balancer.NewPicker(all, "d0"), excluding)).To(Equal(map[string]int{"e4": 3000}))
 	})
 
+	It("picks none that the other attempts at a request excluded", func() {
+		const attempts = 6
+		all := members(attempts)
+		for _, leastLoaded := range []bool{false, true} {
+			q := &balancer.Query{LeastLoaded: leastLoaded}
+			for _, m := range all[1:] {
+				q.Exclude(m)
+			}
+			picker := balancer.NewPicker(all, "d0")
+			Expect(countPicks(picker, func(int) *balancer.Query { return q })).To(Equal(map[string]int{"e0": 3000}))
+		}
+	})
+
 	It("returns nil if no member is eligible", func() {
 		all := members(2)
 		all[0].MarkDown()
--- a/internal/request/balancer/picker.go
+++ b/internal/request/balancer/picker.go
@@ -23,8 +23,9 @@
 	localPreference = 0.15
 	// maxDraws bounds the random draws for one eligible member.
 	maxDraws = 4
-	// maxExcluded is the number of latest excluded members that a query holds.
-	maxExcluded = 4
+	// MaxExcluded is the number of latest excluded members that a query holds. A request
+	// makes at most one attempt more.
+	MaxExcluded = 5
 )
 
 // Query describes the member that a request needs.
@@ -37,19 +38,19 @@
 	LeastLoaded bool
 
 	// excluded is a ring buffer; excludedCount counts all that were excluded.
-	excluded      [maxExcluded]*Member
+	excluded      [MaxExcluded]*Member
 	excludedCount int
 }
 
 // Exclude excludes a member that was tried.
 func (q *Query) Exclude(m *Member) {
-	q.excluded[q.excludedCount%maxExcluded] = m
+	q.excluded[q.excludedCount%MaxExcluded] = m
 	q.excludedCount++
 }
 
 // allows reports whether the member is eligible and not excluded.
 func (q *Query) allows(m *Member) bool {
-	for i := range min(q.excludedCount, maxExcluded) {
+	for i := range min(q.excludedCount, MaxExcluded) {
 		if q.excluded[i] == m {
 			return false
 		}
--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -115,6 +115,7 @@
 without "no fencing token passes 64 bits" internal/connection/store/lease.go 's/r.Era >= maxEras/false \&\& r.Era >= maxEras/' ./internal/connection/store ""
 without "a list of prompt parts may be divided" platform/callerdialect.go 's/strings.Join\(h.Values\(name\), ","\)/h.Get(name)/' ./platform ""
 without "known peers stay known in a full table" internal/connection/peer/tablegossip.go 's/\(!known \&\& len\(g.peers\) >= maxPeers\)/((known || true) \&\& len(g.peers) >= maxPeers)/' ./internal/connection/peer ""
+without "all endpoints that a request tried are excluded" internal/request/balancer/picker.go 's/MaxExcluded = 5/MaxExcluded = 4/' ./internal/request/balancer ""
 without "pages of a table belong to one era" platform/store.go 's/case a.era != out.Revision.Era:/case false:/' ./platform ""
 without "rereads that do not help wait" internal/connection/store/follower.go 's/if rereads == 1 \{/if true {/' ./$entry "keeps no history"
 without "fencing tokens rise with the era" internal/connection/store/lease.go 's/k.acquiredRevision.Era\*tokensPerEra \+ //' ./internal/connection/store ""
