--- a/internal/connection/store/lease.go
+++ b/internal/connection/store/lease.go
@@ -32,6 +32,8 @@
 	// tokensPerEra is the number of fencing tokens that the revisions of one era of the
 	// store can issue.
 	tokensPerEra = tokensPerLease << 32
+	// maxEras is the number of eras whose fencing tokens can be represented.
+	maxEras = 1 << 64 / tokensPerEra
 )
 
 // LeaseStore reads and writes the rows of leases, one for each lease.
@@ -108,7 +110,7 @@
 func (k *Lease) held() bool { return k.acquiredRevision != table.Revision{} }
 
 // NextFencingToken returns a fencing token that is higher than all earlier ones,
-// or 0 if the lease is not held.
+// or 0 if the lease is not held or no higher token can be represented.
 func (k *Lease) NextFencingToken() uint64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -116,7 +118,11 @@
 		return 0
 	}
 	k.issuedTokens++
-	return k.acquiredRevision.Era*tokensPerEra + k.acquiredRevision.Number*tokensPerLease + k.issuedTokens
+	r := k.acquiredRevision
+	if r.Era >= maxEras {
+		return 0
+	}
+	return r.Era*tokensPerEra + r.Number*tokensPerLease + k.issuedTokens
 }
 
 // IsCandidate reports whether this process tries to acquire the lease.
@@ -213,7 +219,7 @@
 		k.otherClaim, k.otherSince = record.Claim, time.Now()
 	}
 	switch {
-	case own && !k.held():
+	case own && k.acquiresAt(row.Revision):
 		k.setHeld(row.Revision)
 	case !own && k.held():
 		k.acquiredRevision, k.claim = table.Revision{}, ""
@@ -222,6 +228,14 @@
 	return own
 }
 
+// acquiresAt reports whether this process acquires the lease at a revision at which the row
+// has its claim. In a later era it acquires the lease anew: the copy from which the store
+// came back, or a late write of before, may have put the claim back after another process
+// held the lease. The caller must hold mu.
+func (k *Lease) acquiresAt(revision table.Revision) bool {
+	return !k.held() || revision.Era > k.acquiredRevision.Era
+}
+
 // setHeld records that the lease was acquired. The caller must hold mu.
 func (k *Lease) setHeld(revision table.Revision) {
 	k.acquiredRevision, k.issuedTokens = revision, 0
@@ -262,7 +276,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.row, k.rowSeen = result.Row, time.Now()
-	if !k.held() {
+	if k.acquiresAt(result.Row.Revision) {
 		k.setHeld(result.Row.Revision)
 	}
 	return true
