Show where an entry would send a request

"cicadareel where" asks an entry at its operator address where a request with a route, account, prompt parts and size would go now, and prints the decision with its inputs as text or JSON: version of the configuration, route and group, account with priority and urgency, the decision of the admission, the plan with its age, each endpoint of the group with load, age of what is known, pause, cold time and obstacles, and the endpoint or the refusal with Retry-After.

Change: Previewer (GET /where) takes the way of a request through the functions that serve it: readRequest, admit, promptAllowed, the picker, and the dialect's refusal. What would count is replaced: Controller.Preview decides as Admit does without the arrival and the credit, directFleet.Preview picks without using up a limit, metrics and log are those of the previewer. Since a bundle has only the hashes of tokens, the account gets one in a copy. Dependencies.Admission is an interface for this.

Ruled out: a flag on real requests that stops them before they are sent. Each of the places that count would need to know it.

Not covered: the refusal of an entry that has 8,192 requests in progress, and the short wait for an endpoint (docs/OPERATING.md).

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -40,7 +40,7 @@
 		Usage: "load balancer for expert-parallel model groups",
 		Commands: []*cli.Command{
 			entryCommand(), sidecarCommand(), configCommand(), bundleCommand(),
-			orderCommand(), statusCommand(), keysCommand(), explainCommand(), versionCommand(),
+			orderCommand(), statusCommand(), keysCommand(), explainCommand(), whereCommand(), versionCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
--- a/internal/connection/caller/service.go
+++ b/internal/connection/caller/service.go
@@ -71,6 +71,12 @@
 	Acquire(ctx context.Context, key string, c claim.Claim, expect uint64) (claim.Record, error)
 }
 
+// Admission decides which requests are served.
+type Admission interface {
+	// Admit decides on a request to the group. The ticket is empty if it is refused.
+	Admit(group string, r admission.Request) (admission.Decision, admission.Ticket)
+}
+
 // BundleSource returns the configuration bundle in force, or nil if there is
 // none yet.
 type BundleSource func() *bundle.Bundle
@@ -83,7 +89,7 @@
 	Claims  Claims
 	Dialect Dialect
 	// Admission is nil if the endpoints' gates alone decide what is admitted.
-	Admission *admission.Controller
+	Admission Admission
 	// Quarantine is nil if the dialect does not name the parts of prompts.
 	Quarantine *quarantine.Tracker
 	Budgets    *retry.Budgets
--- a/internal/connection/operator/operator.go
+++ b/internal/connection/operator/operator.go
@@ -20,6 +20,7 @@
 // Server is the operators' HTTP server.
 type Server struct {
 	http     *http.Server
+	mux      *http.ServeMux
 	listener net.Listener
 }
 
@@ -38,10 +39,13 @@
 		}
 	})
 	mux.Handle("GET /metrics", m.Handler())
-	s := &Server{http: &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, listener: listener}
+	s := &Server{mux: mux, http: &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, listener: listener}
 	go func() { _ = s.http.Serve(listener) }()
 	return s, nil
 }
 
+// Handle adds a handler for the requests that match the pattern.
+func (s *Server) Handle(pattern string, h http.Handler) { s.mux.Handle(pattern, h) }
+
 // Close stops serving.
 func (s *Server) Close(ctx context.Context) { _ = s.http.Shutdown(ctx) }
--- a/internal/process/entry/directfleet.go
+++ b/internal/process/entry/directfleet.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -265,17 +267,38 @@
 func (f *directFleet) Choose(group string, q *balancer.Query) (caller.Target, bool) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	picker := f.pickers[group]
-	if picker == nil {
-		return caller.Target{}, false
-	}
-	m := picker.Pick(q)
+	m := f.pick(group, q)
 	if m == nil || !m.Take() {
 		return caller.Target{}, false
 	}
 	return caller.Target{Member: m, Transport: caller.DirectTransport{Endpoint: f.endpoints[m.Name].direct}}, true
 }
 
+// pick returns the endpoint of the group to which the request goes, or nil if there is
+// none. The caller must hold mu.
+func (f *directFleet) pick(group string, q *balancer.Query) *balancer.Member {
+	if picker := f.pickers[group]; picker != nil {
+		return picker.Pick(q)
+	}
+	return nil
+}
+
+// Preview implements caller.PreviewFleet.
+func (f *directFleet) Preview(group string, q *balancer.Query) (choice string, candidates []balancer.State) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	for _, e := range f.endpoints {
+		if e.info.Group == group {
+			candidates = append(candidates, e.member.State())
+		}
+	}
+	slices.SortFunc(candidates, func(a, b balancer.State) int { return strings.Compare(a.Name, b.Name) })
+	if m := f.pick(group, q); m != nil {
+		choice = m.Name
+	}
+	return choice, candidates
+}
+
 // FindLink implements caller.Fleet. The endpoints have no sidecars.
 func (f *directFleet) FindLink(string) (*sidecar.Link, bool) { return nil, false }
 
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -80,6 +80,9 @@
 	if e.operatorServer, err = operator.NewServer(e.settings.OperatorAddress, e.environment.dependencies.Metrics, e.ready); err != nil {
 		return err
 	}
+	if p, ok := caller.NewPreviewer(e.environment.dependencies); ok {
+		e.operatorServer.Handle("GET /where", p)
+	}
 	if at := e.settings.MetricsAddress; at.IsValid() && at != e.settings.OperatorAddress {
 		if _, err = operator.NewServer(at, e.environment.dependencies.Metrics, e.ready); err != nil {
 			return err
--- a/internal/request/admission/controller.go
+++ b/internal/request/admission/controller.go
@@ -102,6 +102,14 @@
 	return d, Ticket{meter: g.meter, request: r, begun: time.Now()}
 }
 
+// Preview returns what Admit would decide on a request, and the plan in force with its age.
+// The request is not counted.
+func (c *Controller) Preview(groupName string, r Request) (Decision, Plan, time.Duration) {
+	g := c.group(groupName)
+	plan, age := g.limiter.Plan()
+	return g.limiter.Preview(r), plan, age
+}
+
 // Ticket stands for an admitted request in progress. The zero value stands for none.
 type Ticket struct {
 	// meter is nil in the zero value.
--- a/internal/request/admission/limiter.go
+++ b/internal/request/admission/limiter.go
@@ -110,21 +110,43 @@
 func (l *Limiter) Decide(r Request) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	d, credit := l.decide(r)
+	if s := l.shares[r.Account]; s != nil {
+		s.newCredit = credit
+	}
+	return d
+}
+
+// Preview returns what Decide would decide on a request, which is not counted.
+func (l *Limiter) Preview(r Request) Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d, _ := l.decide(r)
+	return d
+}
+
+// decide returns the decision and what is left of the account's credit for new requests.
+// The caller must hold mu.
+func (l *Limiter) decide(r Request) (Decision, float64) {
 	s := l.shares[r.Account]
 	age := time.Since(l.receivedAt)
-	if s == nil || age > planLifetime || r.Resumes {
-		return Decision{Admitted: true, OverShare: l.surges(r.Account)}
+	if s == nil {
+		return Decision{Admitted: true, OverShare: l.surges(r.Account)}, 0
+	}
+	credit := s.newCredit
+	if age > planLifetime || r.Resumes {
+		return Decision{Admitted: true, OverShare: l.surges(r.Account)}, credit
 	}
 	d := Decision{OverShare: true, InFlight: l.meter.InFlight(r.Account), Limit: s.inFlight, PlanAge: age, RetryAfter: l.plan.RetryAfter}
 	if !r.Returned {
-		s.newCredit += l.plan.Limits[r.Account].NewFraction
-		if s.newCredit < 1 {
-			return d
+		credit += l.plan.Limits[r.Account].NewFraction
+		if credit < 1 {
+			return d, credit
 		}
-		s.newCredit = min(1, s.newCredit-1)
+		credit = min(1, credit-1)
 	}
 	d.Admitted = float64(d.InFlight+1) <= accountSlack*s.inFlight+1 && float64(l.limitedInFlight()+1) <= l.total
-	return d
+	return d, credit
 }
 
 // surges reports whether an account asks for far more at this entry than usual. Entries
--- a/internal/request/balancer/warmup.go
+++ b/internal/request/balancer/warmup.go
@@ -73,6 +73,13 @@
 	return w.refill() || w.bucket.has()
 }
 
+// ColdFor returns how much longer the endpoint is cold; 0 if it is warm.
+func (w *WarmupLimiter) ColdFor() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return max(0, time.Until(w.until))
+}
+
 // Take uses up one request and reports whether it may be sent.
 func (w *WarmupLimiter) Take() bool {
 	w.mu.Lock()
--- a/scripts/demo-platform.sh
+++ b/scripts/demo-platform.sh
@@ -81,6 +81,8 @@
   for _ in $(seq 100); do $bin/standin call GET "http://${opses[$i]}/readyz" </dev/null >/dev/null 2>&1 && break; sleep 0.1; done
 done
 
+$bin/cicadareel where --at "${opses[0]}" --host demo.example --account homeowners --parts a:10,own:5 --size 15,20 /draft/x
+
 args=(--host demo.example --key demo-key --rate 60 --length 12s)
 for a in "${entries[@]}"; do args+=(--entry "$a"); done
 for a in "${desks[@]}"; do args+=(--endpoint "$a"); done
--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -116,6 +116,8 @@
 without "a list of prompt parts may be divided" platform/callerdialect.go 's/strings.Join\(h.Values\(name\), ","\)/h.Get(name)/' ./platform ""
 without "known peers stay known in a full table" internal/connection/peer/tablegossip.go 's/\(!known \&\& len\(g.peers\) >= maxPeers\)/((known || true) \&\& len(g.peers) >= maxPeers)/' ./internal/connection/peer ""
 without "all endpoints that a request tried are excluded" internal/request/balancer/picker.go 's/MaxExcluded = 5/MaxExcluded = 4/' ./internal/request/balancer ""
+without "a preview takes no credit of an account" internal/request/admission/limiter.go 's/^\td, _ := l.decide\(r\)/\td, credit := l.decide(r)\n\tif s := l.shares[r.Account]; s != nil {\n\t\ts.newCredit = credit\n\t}/' ./internal/request/admission ""
+without "a preview is refused by the quarantine" internal/connection/caller/preview.go 's/case !d.promptAllowed\(false\):/case false:/' ./$entry "where a request would go"
 without "pages of a table belong to one era" platform/store.go 's/case a.era != out.Revision.Era:/case false:/' ./platform ""
 without "rereads that do not help wait" internal/connection/store/follower.go 's/if rereads == 1 \{/if true {/' ./$entry "keeps no history"
 without "fencing tokens rise with the era" internal/connection/store/lease.go 's/k.acquiredRevision.Era\*tokensPerEra \+ //' ./internal/connection/store ""
