Place requests over lock-step groups by passes and ranks by own starts

Cause: an entry picked, of the ranks with the fewest own requests, the less loaded of two by counts of other entries that are 0.25 s to 1 s old.

Change: events of an entry's own streams tell how long the passes of a group take; shares of groups follow so that passes take equally long, and a group without passes counts as slow. Within a group the entry takes the first rank with the fewest own requests, from a start that divides the ring between the live entries. Failed attempts count for 2 s, else a rank that fails at once would draw the next ones. No exchange is added, and the counts of others are not used for ranks any more. Endpoints of no lock-step group are picked as before.

--- a/internal/connection/endpoint/direct.go
+++ b/internal/connection/endpoint/direct.go
@@ -82,7 +82,7 @@
 
 // Observation is what an attempt showed about its endpoint: Served, Shed,
 // BrokenOff, ServerError, ConnectFailed, Replaced, LimitNamed, LimitInvalid,
-// SaysLeaving, PauseAsked or PauseInvalid.
+// SaysLeaving, PauseAsked, PauseInvalid, StreamBegun, StreamContinued or StreamEnded.
 type Observation interface{ isObservation() }
 
 // Served means that the endpoint sent a complete response other than a
@@ -123,17 +123,30 @@
 // PauseInvalid means that the pause in the head of a response cannot be read.
 type PauseInvalid struct{ Cause error }
 
-func (Served) isObservation()        {}
-func (Shed) isObservation()          {}
-func (BrokenOff) isObservation()     {}
-func (ServerError) isObservation()   {}
-func (ConnectFailed) isObservation() {}
-func (Replaced) isObservation()      {}
-func (LimitNamed) isObservation()    {}
-func (LimitInvalid) isObservation()  {}
-func (SaysLeaving) isObservation()   {}
-func (PauseAsked) isObservation()    {}
-func (PauseInvalid) isObservation()  {}
+// StreamBegun means that the first bytes of an event stream came.
+type StreamBegun struct{}
+
+// StreamContinued means that further bytes of an event stream came, for which this side
+// was waiting.
+type StreamContinued struct{ After time.Duration }
+
+// StreamEnded means that a stream that had begun is over, for whatever reason.
+type StreamEnded struct{}
+
+func (StreamBegun) isObservation()     {}
+func (StreamContinued) isObservation() {}
+func (StreamEnded) isObservation()     {}
+func (Served) isObservation()          {}
+func (Shed) isObservation()            {}
+func (BrokenOff) isObservation()       {}
+func (ServerError) isObservation()     {}
+func (ConnectFailed) isObservation()   {}
+func (Replaced) isObservation()        {}
+func (LimitNamed) isObservation()      {}
+func (LimitInvalid) isObservation()    {}
+func (SaysLeaving) isObservation()     {}
+func (PauseAsked) isObservation()      {}
+func (PauseInvalid) isObservation()    {}
 
 // Observer is notified of what an attempt showed. It must not block.
 type Observer interface{ Observe(o Observation) }
@@ -174,6 +187,9 @@
 	queue []transport.Event
 	// length counts the bytes of the body read so far.
 	length int64
+	// streamedAt is when bytes of an event stream last came; zero before the first and
+	// after the end.
+	streamedAt time.Time
 }
 
 // Next implements transport.Exchange.
@@ -289,8 +305,10 @@
 // readChunk reads the next bytes of a streamed response.
 func (x *exchange) readChunk() {
 	chunk := make([]byte, maxChunkBytes)
+	readAt := time.Now()
 	n, err := x.body.Read(chunk)
 	if n > 0 {
+		x.observeStream(readAt)
 		x.length += int64(n)
 		x.queue = append(x.queue, transport.Data{Payload: chunk[:n]})
 	}
@@ -306,9 +324,34 @@
 	}
 }
 
+// observeStream notifies the observer of bytes of an event stream that were waited for
+// since a time. Bytes that lay ready, since the caller reads slowly, tell nothing.
+func (x *exchange) observeStream(readAt time.Time) {
+	if !x.attempt.Stream {
+		return
+	}
+	now, last := time.Now(), x.streamedAt
+	x.streamedAt = now
+	switch {
+	case last.IsZero():
+		x.direct.observer.Observe(StreamBegun{})
+	case now.Sub(readAt) >= now.Sub(last)/2:
+		x.direct.observer.Observe(StreamContinued{After: now.Sub(last)})
+	}
+}
+
+// endStream notifies the observer of the end of a stream that had begun.
+func (x *exchange) endStream() {
+	if !x.streamedAt.IsZero() {
+		x.streamedAt = time.Time{}
+		x.direct.observer.Observe(StreamEnded{})
+	}
+}
+
 // finish queues the final event and notifies the observer. An attempt that this
 // side canceled shows nothing about the endpoint.
 func (x *exchange) finish(o Observation, final transport.Event) {
+	x.endStream()
 	if x.ctx.Err() == nil {
 		x.direct.observer.Observe(o)
 	}
@@ -326,6 +369,7 @@
 // endpoint stops work on the request.
 func (x *exchange) Close() {
 	x.cancel()
+	x.endStream()
 	if x.body != nil {
 		_ = x.body.Close()
 	}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -63,6 +63,8 @@
 	PromptPartCleared         Event = 411
 	GroupBroken               Event = 503
 	GroupOpen                 Event = 504
+	GroupRelieved             Event = 505
+	GroupRestored             Event = 506
 	EndpointNotReady          Event = 501
 	EndpointReady             Event = 502
 	MapActivated              Event = 600
@@ -123,6 +125,8 @@
 	EventsOutOfOrder:          "endpoint sent events out of order",
 	GroupBroken:               "group of ranks broken",
 	GroupOpen:                 "group of ranks open",
+	GroupRelieved:             "group of ranks gets fewer requests",
+	GroupRestored:             "group of ranks gets its usual requests again",
 	EndpointNotReady:          "endpoint load report missing",
 	EndpointReady:             "endpoint load report received",
 	MapActivated:              "expert map activated",
--- a/internal/process/entry/directendpoint.go
+++ b/internal/process/entry/directendpoint.go
@@ -55,6 +55,7 @@
 	if e.group != g {
 		e.group = g
 		e.member.Usable = g.usable
+		e.member.Lockstep = &g.lockstep
 	}
 }
 
@@ -107,6 +108,8 @@
 		e.group.handleObservation(observation)
 	}
 	switch o := observation.(type) {
+	case endpoint.Shed, endpoint.BrokenOff, endpoint.ServerError:
+		e.member.RecordFailure()
 	case endpoint.LimitNamed:
 		e.fleet.observeLimit(e, o.PerSecond)
 	case endpoint.LimitInvalid:
--- a/internal/process/entry/directfleet.go
+++ b/internal/process/entry/directfleet.go
@@ -37,6 +37,8 @@
 	slowness *slowness.Tracker
 	log      *events.Log
 	bundle   atomic.Pointer[bundle.Bundle]
+	// place is that of this entry among the live ones.
+	place balancer.Place
 	// entryCount is the number of entries that share limits.
 	entryCount atomic.Int32
 	// liveEntries returns the names of the live entries, this one included. onLimitChange
@@ -259,7 +261,7 @@
 	}
 	f.pickers = map[string]*balancer.Picker{}
 	for group, all := range members {
-		f.pickers[group] = balancer.NewPicker(all, f.settings.FailureDomain)
+		f.pickers[group] = balancer.NewPickerAt(all, f.settings.FailureDomain, &f.place)
 	}
 }
 
--- /dev/null
+++ b/internal/process/entry/placement.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cicadareel/cicadareel/internal/events"
+)
+
+// placementInterval is the time between two updates of this entry's place.
+const placementInterval = 250 * time.Millisecond
+
+// placementLoop keeps this entry's place among the live entries, and logs which groups get
+// fewer requests since their passes take long.
+func (f *directFleet) placementLoop(ctx context.Context) {
+	ticker := time.NewTicker(placementInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		f.place.Set(f.settings.Instance, f.liveEntries())
+		f.logRelief()
+	}
+}
+
+// logRelief logs groups that are relieved, or not any more.
+func (f *directFleet) logRelief() {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	for name, g := range f.groups {
+		relieved, changed := g.lockstep.ReliefChanged()
+		if !changed {
+			continue
+		}
+		event := events.GroupRestored
+		if relieved {
+			event = events.GroupRelieved
+		}
+		f.log.Info(event, events.Fields{"group": name, "passMs": g.lockstep.PassTime().Milliseconds(), "share": g.lockstep.Share()})
+	}
+}
+
+// percent converts a share for gauges, which are whole numbers.
+const percent = 100
+
+// busiestPercent returns the requests at the busiest usable endpoint in percent of the mean
+// of its endpoint group, as far as this entry knows them, for the group where that is
+// highest.
+func (f *directFleet) busiestPercent() int64 {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	highest := 0.0
+	for _, p := range f.pickers {
+		highest = max(highest, p.BusiestOverMean())
+	}
+	return int64(percent * highest)
+}
--- a/internal/process/entry/rankgroup.go
+++ b/internal/process/entry/rankgroup.go
@@ -7,6 +7,7 @@
 
 	"github.com/cicadareel/cicadareel/internal/connection/endpoint"
 	"github.com/cicadareel/cicadareel/internal/events"
+	"github.com/cicadareel/cicadareel/internal/request/balancer"
 	"github.com/cicadareel/cicadareel/internal/version/roster"
 	"github.com/cicadareel/cicadareel/platform"
 )
@@ -27,6 +28,8 @@
 type rankGroup struct {
 	name  string
 	fleet *directFleet
+	// lockstep has the times of the group's passes.
+	lockstep balancer.Lockstep
 
 	mu sync.Mutex
 	// epoch is the latest epoch in which the group was ready.
@@ -58,11 +61,17 @@
 // connections is gone, and the group is broken with it. A request that broke off
 // or was shed may be the fault of that rank alone, so a report decides.
 func (g *rankGroup) handleObservation(o endpoint.Observation) {
-	switch o.(type) {
+	switch o := o.(type) {
 	case endpoint.ConnectFailed:
 		g.markBroken("a rank accepts no connections")
 	case endpoint.Shed, endpoint.BrokenOff:
 		g.checkReport()
+	case endpoint.StreamBegun:
+		g.lockstep.BeginStream()
+	case endpoint.StreamEnded:
+		g.lockstep.EndStream()
+	case endpoint.StreamContinued:
+		g.lockstep.RecordEvent(o.After)
 	}
 }
 
--- a/internal/process/entry/storeenvironment.go
+++ b/internal/process/entry/storeenvironment.go
@@ -70,6 +70,7 @@
 	fleet.liveEntries, fleet.onLimitChange = peers.gossip.LiveInstances, peers.gossip.Spread
 	follower := store.NewFollower(ctx, client, tableMirror, peers.gossip.Following, log)
 	fleet.loops.Go(func() { admissionLoop(ctx, controller, log) })
+	fleet.loops.Go(func() { fleet.placementLoop(ctx) })
 	fleet.loops.Go(func() { limitShareLoop(ctx, s, peers.gossip, fleet, budgets) })
 	mayChangeMaps := func() bool { return s.Deployment.FencedCommands && peers.gossip.Following() }
 	lease := store.NewLease(ctx, client, expertsLease, s.Instance, mayChangeMaps, log)
@@ -78,6 +79,7 @@
 	m.RegisterGauge("cicadareel_limited_accounts", "Client accounts that get less than they ask for.", controller.LimitedAccounts)
 	m.RegisterGauge("cicadareel_suspected_prompt_parts", "Parts of prompts that are suspected of crashing endpoints.", suspects.SuspectedParts)
 	m.RegisterGauge("cicadareel_limited_endpoints", "Endpoints that name a limit on their requests.", fleet.limitedEndpoints)
+	m.RegisterGauge("cicadareel_busiest_endpoint_percent", "Requests at the busiest endpoint in percent of the mean of its group.", fleet.busiestPercent)
 	m.RegisterGauge("cicadareel_store_era", "How often the store came back from a copy, as it counts.", func() int64 {
 		revision, _ := tableMirror.Revision(mirror.Intent)
 		return int64(revision.Era)
--- a/internal/request/balancer/member.go
+++ b/internal/request/balancer/member.go
@@ -38,6 +38,10 @@
 	pausedUntil atomic.Pointer[time.Time]
 	// RequestLimit limits the requests to an endpoint that names a limit.
 	RequestLimit RequestLimiter
+	// failures are the attempts that failed here lately.
+	failures failureCount
+	// Lockstep is the group of a rank in lock-step; nil for other endpoints.
+	Lockstep *Lockstep
 	// Usable reports whether what the endpoint depends on works, such as its rank
 	// group; nil if it depends on nothing.
 	Usable func() bool
@@ -152,6 +156,9 @@
 	return (m.Warmup == nil || m.Warmup.Take()) && m.RequestLimit.Take()
 }
 
+// RecordFailure counts an attempt that the endpoint failed or refused.
+func (m *Member) RecordFailure() { m.failures.add() }
+
 // OwnRequests returns the number of this entry's requests at the endpoint.
 func (m *Member) OwnRequests() int { return int(m.own.Load()) }
 
--- a/internal/request/balancer/picker.go
+++ b/internal/request/balancer/picker.go
@@ -63,7 +63,7 @@
 	member *Member
 }
 
-// Picker picks among the members of one group. It never changes; a new one is
+// Picker picks among the members of one group. Its members never change; a new one is
 // made when members come or go.
 type Picker struct {
 	members []*Member
@@ -71,11 +71,20 @@
 	local, remote []*Member
 	// ring is sorted by hash.
 	ring []ringPoint
+	// ordered has the members in an order that is the same at all entries.
+	ordered []*Member
+	even    evenSpread
 }
 
-// NewPicker returns a picker among the members for an entry in failureDomain.
+// NewPicker returns a picker among the members for an entry in failureDomain that is the
+// only one.
 func NewPicker(members []*Member, failureDomain string) *Picker {
-	p := &Picker{members: members}
+	return NewPickerAt(members, failureDomain, &Place{})
+}
+
+// NewPickerAt returns a picker for an entry with a place among others.
+func NewPickerAt(members []*Member, failureDomain string, place *Place) *Picker {
+	p := &Picker{members: members, ordered: byHash(members), even: evenSpread{place: place}}
 	for _, m := range members {
 		if m.FailureDomain == failureDomain {
 			p.local = append(p.local, m)
@@ -98,6 +107,9 @@
 	if len(p.members) == 0 {
 		return nil
 	}
+	if q.LeastLoaded && p.hasLockstep() {
+		return p.pickEven(q)
+	}
 	if q.LeastLoaded {
 		return p.pickLeastLoaded(q)
 	}
@@ -216,3 +228,21 @@
 	}
 	return one, two
 }
+
+// BusiestOverMean returns the requests at the busiest usable member, of this entry and of
+// others as far as they are known, as a multiple of the mean; 0 without requests.
+func (p *Picker) BusiestOverMean() float64 {
+	most, sum, usable := 0.0, 0.0, 0
+	for _, m := range p.members {
+		if !m.IsUsable() {
+			continue
+		}
+		load := m.outstanding() + m.othersLoad()*float64(max(1, m.limit.Load()))
+		most, sum = max(most, load), sum+load
+		usable++
+	}
+	if sum == 0 {
+		return 0
+	}
+	return most * float64(usable) / sum
+}
--- /dev/null
+++ b/internal/request/balancer/place.go
@@ -0,0 +1,61 @@
+package balancer
+
+import (
+	"math"
+	"slices"
+	"sync/atomic"
+
+	"github.com/cicadareel/cicadareel/internal/rendezvous"
+)
+
+// golden spreads the products of its multiples' fractions evenly over 0 to 1.
+const golden = 0.6180339887498949
+
+// Place is the place of an entry among the live entries. It is safe for concurrent use.
+// The zero value is that of the only entry.
+type Place struct {
+	// index is the number of entries before this one in the order of their hashes, count
+	// that of all; packed into one word.
+	packed atomic.Uint64
+}
+
+// Set sets the place of the entry self among entries, which include it.
+func (p *Place) Set(self string, entries []string) {
+	own, before := rendezvous.Hash([]byte(self)), 0
+	for _, e := range entries {
+		if h := rendezvous.Hash([]byte(e)); h < own || (h == own && e < self) {
+			before++
+		}
+	}
+	p.packed.Store(uint64(before)<<32 | uint64(len(entries)))
+}
+
+// start returns the entry's start on a ring of size, and turn a number from 0 to 1 that
+// differs between entries with neighbouring starts.
+func (p *Place) start(size int) int {
+	packed := p.packed.Load()
+	index, count := packed>>32, max(1, packed&math.MaxUint32)
+	return int(index*uint64(size)/count) % max(1, size)
+}
+
+// turn returns a number from 0 to 1 that differs between entries with neighbouring starts.
+func (p *Place) turn() float64 {
+	_, fraction := math.Modf(float64(p.packed.Load()>>32) * golden)
+	return fraction
+}
+
+// byHash returns the members in an order that is the same at all entries.
+func byHash(members []*Member) []*Member {
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b *Member) int {
+		x, y := rendezvous.Hash([]byte(a.Name)), rendezvous.Hash([]byte(b.Name))
+		switch {
+		case x < y:
+			return -1
+		case x > y:
+			return 1
+		}
+		return 0
+	})
+	return sorted
+}
