Leave groups alone whose passes keep the longest pause

Change: if routes name a longest pause, a group gets fewer requests only if its passes do not keep it and the others have room, or if they take twice the mean. The fleet tells the groups the longest pauses of their routes. Without one, passes are made equal as before.

Three tests replay it; two of them fail without the mechanism (scripts/falsify.sh, run for the two lines).

--- a/internal/process/entry/placement.go
+++ b/internal/process/entry/placement.go
@@ -22,10 +22,34 @@
 		case <-ticker.C:
 		}
 		f.place.Set(f.settings.Instance, f.liveEntries())
+		f.updatePauses()
 		f.logRelief()
 	}
 }
 
+// updatePauses tells the lock-step groups the longest pauses that callers want.
+func (f *directFleet) updatePauses() {
+	b := f.bundle.Load()
+	if b == nil {
+		return
+	}
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	pauses := map[string]time.Duration{}
+	for i := range b.Routes {
+		r := &b.Routes[i]
+		pauses[r.Group] = minPositive(pauses[r.Group], r.MaxPause)
+		for _, share := range r.Shares {
+			pauses[share.Group] = minPositive(pauses[share.Group], r.MaxPause)
+		}
+	}
+	for _, e := range f.endpoints {
+		if e.group != nil {
+			e.group.lockstep.SetLongestPause(pauses[e.info.Group])
+		}
+	}
+}
+
 // logRelief logs groups that are relieved, or not any more.
 func (f *directFleet) logRelief() {
 	f.mu.RLock()
--- a/internal/request/balancer/lockstep.go
+++ b/internal/request/balancer/lockstep.go
@@ -23,6 +23,11 @@
 	maxGroupShare = 2
 	// maxGroupGrowth bounds by how much more requests a group may have than it has now.
 	maxGroupGrowth = 1.5
+	// keptPart is the part of the longest pause up to which passes should take at groups
+	// that keep it, and hopelessRatio the ratio to the mean from which a group's passes
+	// take too long to leave it the requests that it has.
+	keptPart      = 0.9
+	hopelessRatio = 2
 	// relievedShare is the share below which a group counts as relieved, and restoredShare
 	// that from which it does no longer.
 	relievedShare = 0.5
@@ -46,6 +51,15 @@
 	share, settled float64
 	updatedAt      time.Time
 	relieved       bool
+	// longestPause is the longest pause that callers want between events; 0 for none.
+	longestPause time.Duration
+}
+
+// SetLongestPause sets the longest pause that callers want between events; 0 for none.
+func (l *Lockstep) SetLongestPause(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.longestPause = d
 }
 
 // BeginStream counts a stream that had its first event. Call EndStream once for each.
@@ -142,16 +156,32 @@
 	l.settled += (1 - l.settled) * (1 - math.Exp(-elapsed/restore.Seconds()))
 }
 
-// aim sets the share with which the group's passes should take as long as the mean.
+// aim sets the share with which the group's passes should take as long as they should if
+// those of all groups take the mean.
 func (l *Lockstep) aim(now time.Time, mean float64) float64 {
 	growth := 1.0
 	if pass := l.passTime(now).Seconds(); pass > 0 && mean > 0 {
-		growth = min(maxGroupGrowth, (mean/pass-fixedShare)/(1-fixedShare))
+		growth = min(maxGroupGrowth, (l.wanted(pass, mean)/pass-fixedShare)/(1-fixedShare))
 	}
 	l.share = max(minGroupShare, l.settled*growth)
 	return l.share
 }
 
+// wanted returns how long the group's passes should take. Those that keep the longest pause
+// may differ: if they were made equal, the next change would make the streams of all groups
+// late at once. A group that does not keep it has fewer requests if the others have room for
+// the rest, and keeps those that it has if not.
+func (l *Lockstep) wanted(pass, mean float64) float64 {
+	longest := l.longestPause.Seconds()
+	switch {
+	case longest == 0 || pass > hopelessRatio*mean:
+		return mean
+	case pass > keptPart*longest && (pass <= longest || mean < keptPart*longest):
+		return keptPart * longest
+	}
+	return pass
+}
+
 // rebalance sets the shares of groups so that their passes take equally long. slots are
 // those of the groups.
 func rebalance(groups []*Lockstep, slots []float64, now time.Time) {
--- a/internal/request/balancer/lockstep_test.go
+++ b/internal/request/balancer/lockstep_test.go
@@ -126,7 +126,7 @@
 		})
 	})
 
-	It("get such parts that their passes take equally long", func() {
+	It("get such parts that their passes take equally long if no longest pause is named", func() {
 		withGroups(func(g *passingGroups) {
 			g.slowdown[1] = 1.3
 			g.run(perSecond, 5*time.Second)
@@ -165,6 +165,57 @@
 		})
 	})
 
+	const longest = 120 * time.Millisecond
+	withPauses := func(body func(g *passingGroups)) {
+		withGroups(func(g *passingGroups) {
+			for _, e := range g.entries {
+				for _, l := range e.groups {
+					l.SetLongestPause(longest)
+				}
+			}
+			body(g)
+		})
+	}
+
+	It("are left alone while they keep the longest pause", func() {
+		withPauses(func(g *passingGroups) {
+			g.slowdown[1] = 1.3
+			g.run(perSecond, 5*time.Second)
+			Expect(g.passTime[1]).To(BeNumerically(">", g.passTime[0]+10*time.Millisecond))
+			for _, e := range g.entries {
+				Expect(e.groups[1].Share()).To(BeNumerically("~", 1, 0.1))
+			}
+		})
+	})
+
+	It("keep the longest pause if the others have room for their requests", func() {
+		withPauses(func(g *passingGroups) {
+			g.slowdown[1] = 2.2
+			g.run(perSecond, 5*time.Second)
+			Expect(part(g, 1)).To(BeNumerically("<", 0.2))
+			for _, pass := range g.passTime {
+				Expect(pass).To(BeNumerically("<=", longest))
+			}
+		})
+	})
+
+	It("keep the longest pause for some streams if there are too many for all", func() {
+		withPauses(func(g *passingGroups) {
+			g.run(330, 15*time.Second)
+			inTime, all := 0, 0
+			for range 50 {
+				g.run(330, 100*time.Millisecond)
+				for i, n := range g.sent {
+					all += n
+					if g.passTime[i] <= longest {
+						inTime += n
+					}
+				}
+			}
+			Expect(float64(inTime)/float64(all)).To(BeNumerically(">", 0.4))
+		})
+	})
+
 	It("that make no passes are relieved within a second", func() {
 		withGroups(func(g *passingGroups) {
 			g.stalled = 2
--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -179,6 +179,8 @@
 without "ranks with the fewest own requests are picked" $balancer/even.go 's/load < least/load <= least+1/' ./$balancer "fewest own requests"
 without "failed attempts count for a while" $balancer/even.go 's/ \+ m.member.failures.recent\(\)//' ./$balancer "fails them at once"
 without "groups of ranks get requests by the times of their passes" $balancer/even.go 's/^\t\trebalance\(.*//' ./$balancer "lock-step"
+without "groups that keep the longest pause are left alone" $balancer/lockstep.go 's/case longest == 0 \|\| /case true || /' ./$balancer "left alone"
+without "groups that do not keep the longest pause are relieved" $balancer/lockstep.go 's/case pass > keptPart\*longest .*/case false:/' ./$balancer "have room for"
 without "a group without passes is relieved" $balancer/lockstep.go 's/return max\(l.pass, silence\)/return l.pass/' ./$balancer "make no passes"
 without "relieved groups get requests again" $balancer/lockstep.go 's/l.settled \+= \(1 - l.settled\).*/_ = restore/' ./$balancer "few requests"
 without "entries learn the times of passes from their streams" internal/connection/endpoint/direct.go 's/x.observeStream\(readAt\)/_ = readAt/' ./internal/process/entry "placement of streams"
