Begin at ranks by hash while no other entry is known

Cause: an entry that is cut off from the others knows no live one after a while, and all such entries would begin at the first rank.

Change: an entry that knows no other one takes a place by its hash.

The test fails without it: 13 requests of 13 entries at one rank.

--- a/internal/request/balancer/even_test.go
+++ b/internal/request/balancer/even_test.go
@@ -26,6 +26,12 @@
 
 // newRankEntries returns entries that each know all ranks and each other.
 func newRankEntries(entries, groups, ranksPerGroup int) []*rankEntry {
+	return newRankEntriesKnowing(func(names []string, _ string) []string { return names }, entries, groups, ranksPerGroup)
+}
+
+// newRankEntriesKnowing returns entries that know those of all names that a function
+// returns for their own.
+func newRankEntriesKnowing(known func(names []string, own string) []string, entries, groups, ranksPerGroup int) []*rankEntry {
 	var names []string
 	for i := range entries {
 		names = append(names, fmt.Sprint("entry", i))
@@ -44,7 +50,7 @@
 			e.members = append(e.members, m)
 		}
 		place := &balancer.Place{}
-		place.Set(names[i], names)
+		place.Set(names[i], known(names, names[i]))
 		e.picker = balancer.NewPickerAt(e.members, "d", place)
 		all[i] = e
 	}
@@ -167,6 +173,20 @@
 		}
 	})
 
+	It("do not crowd at the same ranks while the entries are cut off from each other", func() {
+		alone := func(_ []string, own string) []string { return []string{own} }
+		for _, entries := range []int{13, 53} {
+			all := newRankEntriesKnowing(alone, entries, 1, 72)
+			for range 10 {
+				for _, e := range all {
+					e.place()
+				}
+			}
+			busiest, mean := busiestAndMean(atRanks(all))
+			Expect(busiest).To(BeNumerically("<", mean+rankSlots), "with %d entries", entries)
+		}
+	})
+
 	It("do not crowd at a rank that fails them at once", func() {
 		synctest.Test(suite, func(*testing.T) {
 			e := newRankEntries(1, 1, 24)[0]
--- a/internal/request/balancer/lockstep_test.go
+++ b/internal/request/balancer/lockstep_test.go
@@ -212,7 +212,7 @@
 					}
 				}
 			}
-			Expect(float64(inTime)/float64(all)).To(BeNumerically(">", 0.4))
+			Expect(float64(inTime) / float64(all)).To(BeNumerically(">", 0.4))
 		})
 	})
 
--- a/internal/request/balancer/place.go
+++ b/internal/request/balancer/place.go
@@ -11,15 +11,19 @@
 // golden spreads the products of its multiples' fractions evenly over 0 to 1.
 const golden = 0.6180339887498949
 
+// wordBits is the size of a word of Place.packed.
+const wordBits = 32
+
 // Place is the place of an entry among the live entries. It is safe for concurrent use.
 // The zero value is that of the only entry.
 type Place struct {
-	// index is the number of entries before this one in the order of their hashes, count
-	// that of all; packed into one word.
+	// packed has two words: the number of entries before this one in the order of their
+	// hashes, and that of all.
 	packed atomic.Uint64
 }
 
-// Set sets the place of the entry self among entries, which include it.
+// Set sets the place of the entry self among entries, which include it. An entry that knows
+// no other one is most likely cut off from them, and takes a place by its hash.
 func (p *Place) Set(self string, entries []string) {
 	own, before := rendezvous.Hash([]byte(self)), 0
 	for _, e := range entries {
@@ -27,20 +31,23 @@
 			before++
 		}
 	}
-	p.packed.Store(uint64(before)<<32 | uint64(len(entries)))
+	if len(entries) < 2 {
+		p.packed.Store(own>>(1+wordBits)<<wordBits | 1<<(wordBits-1))
+		return
+	}
+	p.packed.Store(uint64(before)<<wordBits | uint64(len(entries)))
 }
 
-// start returns the entry's start on a ring of size, and turn a number from 0 to 1 that
-// differs between entries with neighbouring starts.
+// start returns the entry's start on a ring of size.
 func (p *Place) start(size int) int {
 	packed := p.packed.Load()
-	index, count := packed>>32, max(1, packed&math.MaxUint32)
+	index, count := packed>>wordBits, max(1, packed&math.MaxUint32)
 	return int(index*uint64(size)/count) % max(1, size)
 }
 
 // turn returns a number from 0 to 1 that differs between entries with neighbouring starts.
 func (p *Place) turn() float64 {
-	_, fraction := math.Modf(float64(p.packed.Load()>>32) * golden)
+	_, fraction := math.Modf(float64(p.packed.Load()>>wordBits) * golden)
 	return fraction
 }
 
--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -176,6 +176,7 @@
 without "only entries with the loads of most make plans" $admission/controller.go 's/minCoverage = 0.6/minCoverage = 0.2/' ./$admission ""
 without "accounts are limited (entry)" internal/connection/caller/admission.go 's/if s.Admission == nil \{/if true {/' ./$entry "that floods"
 without "entries fill ranks from starts of their own" $balancer/place.go 's/return int\(index\*.*/_ = index*count; return 0/' ./$balancer "free slot at six tenths"
+without "entries that are cut off begin at ranks by their hash" $balancer/place.go 's/if len\(entries\) < 2 \{/if false {/' ./$balancer "cut off from each other"
 without "ranks with the fewest own requests are picked" $balancer/even.go 's/load < least/load <= least+1/' ./$balancer "fewest own requests"
 without "failed attempts count for a while" $balancer/even.go 's/ \+ m.member.failures.recent\(\)//' ./$balancer "fails them at once"
 without "groups of ranks get requests by the times of their passes" $balancer/even.go 's/^\t\trebalance\(.*//' ./$balancer "lock-step"
