Let groups that took hopelessly long have requests again soon

Cause: once the passes of a relieved group are short, its share went back to the usual with a time constant of 8 s only, while the others carried its requests.

Change: a group whose passes took more than twice the mean is marked until it has three quarters of its share again, and until then gets such a share that its passes take the mean.

--- a/internal/request/balancer/lockstep.go
+++ b/internal/request/balancer/lockstep.go
@@ -51,6 +51,9 @@
 	share, settled float64
 	updatedAt      time.Time
 	relieved       bool
+	// hopeless is true from when passes take hopelessly long until the group has most of
+	// its share again.
+	hopeless bool
 	// longestPause is the longest pause that callers want between events; 0 for none.
 	longestPause time.Duration
 }
@@ -170,11 +173,18 @@
 // wanted returns how long the group's passes should take. Those that keep the longest pause
 // may differ: if they were made equal, the next change would make the streams of all groups
 // late at once. A group that does not keep it has fewer requests if the others have room for
-// the rest, and keeps those that it has if not.
+// the rest, and keeps those that it has if not. One that took hopelessly long gets more again
+// as soon as its passes are shorter than the mean.
 func (l *Lockstep) wanted(pass, mean float64) float64 {
 	longest := l.longestPause.Seconds()
 	switch {
-	case longest == 0 || pass > hopelessRatio*mean:
+	case pass > hopelessRatio*mean:
+		l.hopeless = true
+	case l.settled >= restoredShare:
+		l.hopeless = false
+	}
+	switch {
+	case longest == 0, pass > hopelessRatio*mean, pass < mean && l.hopeless:
 		return mean
 	case pass > keptPart*longest && (pass <= longest || mean < keptPart*longest):
 		return keptPart * longest
--- a/internal/request/balancer/lockstep_test.go
+++ b/internal/request/balancer/lockstep_test.go
@@ -188,6 +188,17 @@
 		})
 	})
 
+	It("have their part again soon after they have recovered", func() {
+		withPauses(func(g *passingGroups) {
+			g.slowdown[1] = 12
+			g.run(perSecond, 5*time.Second)
+			g.slowdown[1] = 1
+			g.run(perSecond, 4*time.Second)
+			g.run(perSecond, time.Second)
+			Expect(part(g, 1)).To(BeNumerically(">", 0.25))
+		})
+	})
+
 	It("keep the longest pause if the others have room for their requests", func() {
 		withPauses(func(g *passingGroups) {
 			g.slowdown[1] = 2.2
