Mend what a review of the placement found

- Of two groups with a longest pause, a slow or stalled one was not relieved: it was compared with a mean that includes it.
It is compared with the others now.
- A group whose ranks fail at once drew most requests: failures count at the group too.
- Cold ranks and ranks at their request limit counted as slots of their group.
- The time of passes from long ago came back with the next stream; streams that were given up made a stalled group look well; bytes that lay ready did not count as signs of life.
- Ranks with fewer slots got as many requests as the others of their group.
- The group of an endpoint was read without a lock.
- The list of usable ranks was made by nearly each pick of an entry with few picks: it is made in the background, and again after a pick without a result at most each 5 ms.
- Relieved groups that are alone or idle were never reported as restored.

Now all groups but the slowest keep the longest pause.

--- a/internal/connection/endpoint/direct.go
+++ b/internal/connection/endpoint/direct.go
@@ -126,9 +126,11 @@
 // StreamBegun means that the first bytes of an event stream came.
 type StreamBegun struct{}
 
-// StreamContinued means that further bytes of an event stream came, for which this side
-// was waiting.
-type StreamContinued struct{ After time.Duration }
+// StreamContinued means that further bytes of an event stream came.
+type StreamContinued struct {
+	// After is the time since the bytes before; 0 if these lay ready.
+	After time.Duration
+}
 
 // StreamEnded means that a stream that had begun is over, for whatever reason.
 type StreamEnded struct{}
@@ -325,7 +327,7 @@
 }
 
 // observeStream notifies the observer of bytes of an event stream that were waited for
-// since a time. Bytes that lay ready, since the caller reads slowly, tell nothing.
+// since a time. Bytes that lay ready, since the caller reads slowly, tell no time.
 func (x *exchange) observeStream(readAt time.Time) {
 	if !x.attempt.Stream {
 		return
@@ -337,6 +339,8 @@
 		x.direct.observer.Observe(StreamBegun{})
 	case now.Sub(readAt) >= now.Sub(last)/2:
 		x.direct.observer.Observe(StreamContinued{After: now.Sub(last)})
+	default:
+		x.direct.observer.Observe(StreamContinued{})
 	}
 }
 
--- a/internal/process/entry/crashcheck.go
+++ b/internal/process/entry/crashcheck.go
@@ -23,7 +23,7 @@
 	f.mu.RLock()
 	e := f.endpoints[name]
 	f.mu.RUnlock()
-	if e == nil || (e.group != nil && e.group.brokenFor() > f.settings.Deployment.Stall()/2) {
+	if e == nil || e.groupBrokenFor() > f.settings.Deployment.Stall()/2 {
 		return false
 	}
 	crashed, _, _ := f.crashChecks.Do(name, func() (any, error) { return e.refusesConnections(ctx), nil })
--- a/internal/process/entry/directendpoint.go
+++ b/internal/process/entry/directendpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cicadareel/cicadareel/internal/connection/endpoint"
@@ -24,7 +25,7 @@
 	// info is guarded by the fleet's lock.
 	info roster.Endpoint
 	// group is the lock-step group of a rank; nil for other endpoints.
-	group *rankGroup
+	group atomic.Pointer[rankGroup]
 
 	mu sync.Mutex
 	// ejected is true while the endpoint gets no requests after a failure.
@@ -52,13 +53,21 @@
 
 // joinGroup makes the endpoint a rank of a group.
 func (e *directEndpoint) joinGroup(g *rankGroup) {
-	if e.group != g {
-		e.group = g
+	if e.group.Swap(g) != g {
 		e.member.Usable = g.usable
 		e.member.Lockstep = &g.lockstep
 	}
 }
 
+// groupBrokenFor returns how long the endpoint's lock-step group has been broken; 0 if it
+// is not, or if there is none.
+func (e *directEndpoint) groupBrokenFor() time.Duration {
+	if g := e.group.Load(); g != nil {
+		return g.brokenFor()
+	}
+	return 0
+}
+
 // update applies the latest announcement.
 func (e *directEndpoint) update(info roster.Endpoint) {
 	changed := !e.isSameAnnouncement(info) || !e.member.HasLimit()
@@ -104,8 +113,8 @@
 
 // Observe implements endpoint.Observer.
 func (e *directEndpoint) Observe(observation endpoint.Observation) {
-	if e.group != nil {
-		e.group.handleObservation(observation)
+	if g := e.group.Load(); g != nil {
+		g.handleObservation(observation)
 	}
 	switch o := observation.(type) {
 	case endpoint.Shed, endpoint.BrokenOff, endpoint.ServerError:
--- a/internal/process/entry/directfleet.go
+++ b/internal/process/entry/directfleet.go
@@ -236,7 +236,7 @@
 	e.update(info)
 	if info.Membership != nil {
 		e.joinGroup(f.group(info.Membership.Group))
-		e.group.applyAnnouncement(*info.Membership)
+		e.group.Load().applyAnnouncement(*info.Membership)
 	}
 	return changed
 }
@@ -323,7 +323,7 @@
 	for _, e := range f.endpoints {
 		switch {
 		case e.info.Group != group:
-		case e.group != nil && !e.group.usable():
+		case e.groupBrokenFor() > 0:
 			broken++
 		case e.member.IsUsable():
 			if pause := e.member.PausedFor(); pause > 0 {
--- a/internal/process/entry/placement.go
+++ b/internal/process/entry/placement.go
@@ -2,23 +2,32 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/cicadareel/cicadareel/internal/events"
 )
 
-// placementInterval is the time between two updates of this entry's place.
-const placementInterval = 250 * time.Millisecond
+const (
+	// placementInterval is the time between two updates of this entry's place, and
+	// refreshInterval that between two lists of usable endpoints.
+	placementInterval = 250 * time.Millisecond
+	refreshInterval   = 50 * time.Millisecond
+)
 
 // placementLoop keeps this entry's place among the live entries, and logs which groups get
 // fewer requests since their passes take long.
 func (f *directFleet) placementLoop(ctx context.Context) {
-	ticker := time.NewTicker(placementInterval)
+	refresh, ticker := time.NewTicker(refreshInterval), time.NewTicker(placementInterval)
+	defer refresh.Stop()
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-refresh.C:
+			f.refreshPickers()
+			continue
 		case <-ticker.C:
 		}
 		f.place.Set(f.settings.Instance, f.liveEntries())
@@ -44,12 +53,21 @@
 		}
 	}
 	for _, e := range f.endpoints {
-		if e.group != nil {
-			e.group.lockstep.SetLongestPause(pauses[e.info.Group])
+		if g := e.group.Load(); g != nil {
+			g.lockstep.SetLongestPause(pauses[e.info.Group])
 		}
 	}
 }
 
+// refreshPickers lets the pickers see which endpoints are usable now.
+func (f *directFleet) refreshPickers() {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	for _, p := range f.pickers {
+		p.Refresh()
+	}
+}
+
 // logRelief logs groups that are relieved, or not any more.
 func (f *directFleet) logRelief() {
 	f.mu.RLock()
@@ -63,7 +81,7 @@
 		if relieved {
 			event = events.GroupRelieved
 		}
-		f.log.Info(event, events.Fields{"group": name, "passMs": g.lockstep.PassTime().Milliseconds(), "share": g.lockstep.Share()})
+		f.log.Info(event, events.Fields{"group": name, "passMs": g.lockstep.PassTime().Milliseconds(), "share": math.Round(percent*g.lockstep.Share()) / percent})
 	}
 }
 
--- a/internal/request/balancer/even.go
+++ b/internal/request/balancer/even.go
@@ -15,8 +15,13 @@
 // the ring of ranks evenly, so that the parts which the entries fill lie side by side.
 // Nothing of that depends on exchanges but the number of entries and their order.
 
-// snapshotLifetime is how long an entry goes by the same list of usable members.
-const snapshotLifetime = 20 * time.Millisecond
+const (
+	// listLifetime is how long a list of usable members is used at most. Refresh makes a
+	// new one in the background.
+	listLifetime = 200 * time.Millisecond
+	// listRetry is how old a list without a member for a query must be to be made anew.
+	listRetry = 5 * time.Millisecond
+)
 
 // evenSpread spreads requests over the members of lock-step groups.
 type evenSpread struct {
@@ -45,8 +50,9 @@
 
 type evenMember struct {
 	member *Member
-	// slowness is that of the member when the list was made.
-	slowness float64
+	// slowness is that of the member when the list was made, and scale the mean slots of
+	// the group's members divided by its own.
+	slowness, scale float64
 }
 
 // hasLockstep reports whether any member is a rank of a lock-step group.
@@ -65,17 +71,28 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	if now.Sub(e.takenAt) >= snapshotLifetime {
+	if now.Sub(e.takenAt) >= listLifetime {
 		e.take(p.ordered, now)
 	}
 	m := e.pick(q)
-	if m == nil && e.takenAt.Before(now) {
+	if m == nil && now.Sub(e.takenAt) >= listRetry {
 		e.take(p.ordered, now)
 		m = e.pick(q)
 	}
 	return m
 }
 
+// Refresh makes the list of the usable members of lock-step groups anew and balances the
+// groups. Call it some ten times a second, so that picks need not.
+func (p *Picker) Refresh() {
+	if !p.hasLockstep() {
+		return
+	}
+	p.even.mu.Lock()
+	defer p.even.mu.Unlock()
+	p.even.take(p.ordered, time.Now())
+}
+
 // take makes the list of usable members and balances the groups.
 func (e *evenSpread) take(members []*Member, now time.Time) {
 	e.takenAt = now
@@ -83,7 +100,7 @@
 		e.groups[i].members, e.groups[i].slots = e.groups[i].members[:0], 0
 	}
 	for _, m := range members {
-		if !m.IsUsable() || m.PausedFor() > 0 {
+		if !m.eligible() {
 			continue
 		}
 		g := e.group(m.Lockstep)
@@ -91,11 +108,15 @@
 		if m.Slowness != nil {
 			slowness = m.Slowness()
 		}
-		g.members = append(g.members, evenMember{member: m, slowness: slowness})
-		g.slots += float64(max(1, m.limit.Load()))
+		slots := float64(max(1, m.limit.Load()))
+		g.members = append(g.members, evenMember{member: m, slowness: slowness, scale: 1 / slots})
+		g.slots += slots
 	}
 	e.locksteps, e.slots = e.locksteps[:0], e.slots[:0]
 	for _, g := range e.groups {
+		for i := range g.members {
+			g.members[i].scale *= g.slots / float64(len(g.members))
+		}
 		if g.lockstep != nil && len(g.members) > 0 {
 			e.locksteps, e.slots = append(e.locksteps, g.lockstep), append(e.slots, g.slots)
 		}
@@ -154,7 +175,7 @@
 	}
 	_, requests := math.Modf(turn)
 	for _, m := range g.members {
-		requests += float64(m.member.own.Load())
+		requests += m.requests()
 	}
 	g.score = requests / (g.slots * g.share)
 }
@@ -177,11 +198,16 @@
 	return best
 }
 
-// load returns the entry's requests at the member, scaled by its slowness.
+// requests returns the entry's requests at the member, with those that failed lately.
+func (m *evenMember) requests() float64 {
+	return float64(m.member.own.Load()) + m.member.failures.recent()
+}
+
+// load returns the requests, scaled by the member's slots and slowness.
 func (m *evenMember) load() float64 {
-	own := float64(m.member.own.Load()) + m.member.failures.recent()
+	load := m.requests() * m.scale
 	if m.slowness == 1 {
-		return own
+		return load
 	}
-	return (own+1)*m.slowness - 1
+	return (load+1)*m.slowness - 1
 }
--- a/internal/request/balancer/even_test.go
+++ b/internal/request/balancer/even_test.go
@@ -208,6 +208,93 @@
 		})
 	})
 
+	It("do not crowd at a group whose ranks fail them at once", func() {
+		synctest.Test(suite, func(*testing.T) {
+			e := newRankEntries(1, 3, 8)[0]
+			failed := 0
+			for range 600 {
+				m := e.place()
+				if m.Lockstep == e.groups[1] {
+					failed++
+					m.EndRequest()
+					m.RecordFailure()
+				} else {
+					time.AfterFunc(2*time.Second, m.EndRequest)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			Expect(failed).To(BeNumerically("<=", 220))
+		})
+	})
+
+	It("go to a rank again that failed now and then", func() {
+		synctest.Test(suite, func(*testing.T) {
+			e := newRankEntries(1, 1, 4)[0]
+			for range 100 {
+				e.members[0].RecordFailure()
+				time.Sleep(1900 * time.Millisecond)
+			}
+			for range 40 {
+				e.place()
+			}
+			Expect(e.members[0].OwnRequests()).To(BeNumerically(">=", 8))
+		})
+	})
+
+	It("fill ranks by their slots", func() {
+		e := newRankEntries(1, 1, 4)[0]
+		e.members[0].ApplyAnnouncement(2, true)
+		for range 32 {
+			e.place()
+		}
+		Expect(e.members[0].OwnRequests()).To(BeNumerically("~", 2, 1))
+	})
+
+	It("go to no rank that takes none, also if that has just changed", func() {
+		rapid.Check(suite, func(t *rapid.T) {
+			synctest.Test(suite, func(*testing.T) {
+				e := newRankEntries(1, 2, 4)[0]
+				broken := map[*balancer.Lockstep]bool{}
+				for _, m := range e.members {
+					m.Usable = func() bool { return !broken[m.Lockstep] }
+					m.Warmup = &balancer.WarmupLimiter{}
+				}
+				for range rapid.IntRange(1, 60).Draw(t, "events") {
+					m := e.members[rapid.IntRange(0, len(e.members)-1).Draw(t, "rank")]
+					on := rapid.Bool().Draw(t, "on")
+					switch rapid.IntRange(0, 6).Draw(t, "kind") {
+					case 0:
+						m.PauseUntil(time.Now().Add(50 * time.Millisecond))
+					case 1:
+						m.SetHeld(on)
+					case 2:
+						m.MarkDown()
+						if on {
+							m.MarkUp()
+						}
+					case 3:
+						broken[m.Lockstep] = on
+					case 4:
+						m.Warmup.SetCold(time.Now().Add(time.Second), balancer.ColdRate{})
+					case 5:
+						m.ApplyAnnouncement(rankSlots, on)
+					case 6:
+						time.Sleep(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+					}
+					q := &balancer.Query{LeastLoaded: true}
+					q.Exclude(e.members[0])
+					picked := e.picker.Pick(q)
+					if picked == nil {
+						continue
+					}
+					if picked == e.members[0] || !picked.IsUsable() || picked.PausedFor() > 0 || !picked.Warmup.Ready() {
+						t.Fatalf("%s was picked", picked.Name)
+					}
+				}
+			})
+		})
+	})
+
 	It("are picked without allocating", func() {
 		e := newRankEntries(410, 13, 70)[7]
 		Expect(testing.AllocsPerRun(1000, func() {
@@ -234,3 +321,15 @@
 		})
 	}
 }
+
+func BenchmarkRefresh(b *testing.B) {
+	for _, size := range []struct{ groups, ranks int }{{3, 64}, {13, 70}} {
+		b.Run(fmt.Sprint(size.groups*size.ranks), func(b *testing.B) {
+			e := newRankEntries(53, size.groups, size.ranks)[7]
+			b.ReportAllocs()
+			for b.Loop() {
+				e.picker.Refresh()
+			}
+		})
+	}
+}
--- a/internal/request/balancer/lockstep.go
+++ b/internal/request/balancer/lockstep.go
@@ -21,23 +21,30 @@
 	// usual one. The smallest leaves requests that show when the group has recovered.
 	minGroupShare = 1.0 / 16
 	maxGroupShare = 2
-	// maxGroupGrowth bounds by how much more requests a group may have than it has now.
-	maxGroupGrowth = 1.5
+	// maxGroupGrowth bounds by how much more requests a group may have than it has now, and
+	// maxEmptiedGrowth that of one that had lost most of them.
+	maxGroupGrowth   = 1.5
+	maxEmptiedGrowth = 3
 	// keptPart is the part of the longest pause up to which passes should take at groups
-	// that keep it, and hopelessRatio the ratio to the mean from which a group's passes
-	// take too long to leave it the requests that it has.
+	// that keep it, and hopelessRatio the ratio to that and to those of the others
+	// from which a group's passes take too long to leave it the requests that it has.
 	keptPart      = 0.9
-	hopelessRatio = 2
+	hopelessRatio = 4
 	// relievedShare is the share below which a group counts as relieved, and restoredShare
 	// that from which it does no longer.
 	relievedShare = 0.5
 	restoredShare = 0.75
+	// emptiedShare is the share below which a group gets its share back as soon as its passes
+	// are short.
+	emptiedShare = 0.25
 )
 
-// Lockstep is a group of ranks in lock-step as an entry sees it. Each pass of the group
-// takes as long as its slowest rank, and gives every stream its next event. So the times
-// between events of a few of the entry's own streams tell at once how long the passes of
-// the whole group take. It is safe for concurrent use. The zero value has shown no pass.
+// Lockstep is a group of ranks in lock-step as an entry sees it. It answers the load of several
+// groups of which one is slow, stalled or has less room, while the others could serve its
+// requests in time. Each pass of the group takes as long as its slowest rank, and gives every
+// stream its next event. So the times between events of a few of the entry's own streams tell at
+// once how long the passes of the whole group take. It is safe for concurrent use. The zero value
+// has shown no pass.
 type Lockstep struct {
 	mu sync.Mutex
 	// pass is the time of a pass; 0 before the first.
@@ -51,9 +58,9 @@
 	share, settled float64
 	updatedAt      time.Time
 	relieved       bool
-	// hopeless is true from when passes take hopelessly long until the group has most of
-	// its share again.
-	hopeless bool
+	// emptied is true from when the group had lost most of its share until it has most of it
+	// again.
+	emptied bool
 	// longestPause is the longest pause that callers want between events; 0 for none.
 	longestPause time.Duration
 }
@@ -69,22 +76,38 @@
 func (l *Lockstep) BeginStream() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := time.Now()
+	if l.streams == 0 {
+		if now.Sub(l.eventAt) > settleTime {
+			l.pass = 0
+		}
+		l.eventAt = now
+	}
 	l.streams++
-	l.eventAt = time.Now()
 }
 
-// EndStream counts a stream less.
+// EndStream counts a stream less. If streams waited for long, those that are given up do not
+// make the group look well.
 func (l *Lockstep) EndStream() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.streams--
+	now := time.Now()
+	if silence := now.Sub(l.eventAt); l.streams > 0 && silence > max(l.pass, passWindow) {
+		l.pass, l.eventAt = silence, now
+	}
+	l.streams = max(0, l.streams-1)
 }
 
-// RecordEvent counts a further event of a stream and the time since the one before.
+// RecordEvent counts a further event of a stream and the time since the one before; 0 if
+// that is not known.
 func (l *Lockstep) RecordEvent(gap time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
+	if gap == 0 {
+		l.eventAt = now
+		return
+	}
 	if l.pass == 0 {
 		l.pass = gap
 	}
@@ -105,6 +128,8 @@
 func (l *Lockstep) passTime(now time.Time) time.Duration {
 	silence := now.Sub(l.eventAt)
 	switch {
+	case l.pass == 0 && silence < passWindow:
+		return 0
 	case l.streams > 0:
 		return max(l.pass, silence)
 	case silence > settleTime:
@@ -133,6 +158,10 @@
 func (l *Lockstep) ReliefChanged() (relieved, changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if time.Since(l.updatedAt) > forgetTime {
+		// The group is the only usable one, or is not usable.
+		l.share, l.settled = 1, 1
+	}
 	before := l.relieved
 	switch share := orOne(l.share); {
 	case share < relievedShare:
@@ -160,11 +189,17 @@
 }
 
 // aim sets the share with which the group's passes should take as long as they should if
-// those of all groups take the mean.
-func (l *Lockstep) aim(now time.Time, mean float64) float64 {
+// those of all groups take mean, those of the others others, and those of the slowest one
+// slowest.
+func (l *Lockstep) aim(now time.Time, mean, others, slowest float64) float64 {
 	growth := 1.0
-	if pass := l.passTime(now).Seconds(); pass > 0 && mean > 0 {
-		growth = min(maxGroupGrowth, (l.wanted(pass, mean)/pass-fixedShare)/(1-fixedShare))
+	if pass := l.passTime(now).Seconds(); pass > 0 && others > 0 {
+		growth = (l.wanted(pass, mean, others, slowest)/pass - fixedShare) / (1 - fixedShare)
+		if l.emptied {
+			growth = min(growth, maxEmptiedGrowth)
+		} else {
+			growth = min(growth, maxGroupGrowth)
+		}
 	}
 	l.share = max(minGroupShare, l.settled*growth)
 	return l.share
@@ -172,21 +207,25 @@
 
 // wanted returns how long the group's passes should take. Those that keep the longest pause
 // may differ: if they were made equal, the next change would make the streams of all groups
-// late at once. A group that does not keep it has fewer requests if the others have room for
-// the rest, and keeps those that it has if not. One that took hopelessly long gets more again
-// as soon as its passes are shorter than the mean.
-func (l *Lockstep) wanted(pass, mean float64) float64 {
+// late at once. Groups that do not keep it have fewer requests if the others have room for the
+// rest; if not, the slowest one has the rest, since streams are late there anyway. One that has
+// lost most of its requests gets more again as soon as its passes are shorter than those of the
+// others.
+func (l *Lockstep) wanted(pass, mean, others, slowest float64) float64 {
 	longest := l.longestPause.Seconds()
+	hopeless := pass > hopelessRatio*max(others, longest)
 	switch {
-	case pass > hopelessRatio*mean:
-		l.hopeless = true
+	case l.settled < emptiedShare:
+		l.emptied = true
 	case l.settled >= restoredShare:
-		l.hopeless = false
+		l.emptied = false
 	}
 	switch {
-	case longest == 0, pass > hopelessRatio*mean, pass < mean && l.hopeless:
+	case hopeless, pass < others && l.emptied:
+		return others
+	case longest == 0:
 		return mean
-	case pass > keptPart*longest && (pass <= longest || mean < keptPart*longest):
+	case pass > keptPart*longest && (pass < slowest || mean < keptPart*longest):
 		return keptPart * longest
 	}
 	return pass
@@ -195,19 +234,26 @@
 // rebalance sets the shares of groups so that their passes take equally long. slots are
 // those of the groups.
 func rebalance(groups []*Lockstep, slots []float64, now time.Time) {
-	requests, passed, all, aimed := 0.0, 0.0, 0.0, 0.0
+	requests, passed, all, aimed, slowest := 0.0, 0.0, 0.0, 0.0, 0.0
 	for i, l := range groups {
 		l.mu.Lock()
 		l.settle(now)
 		if pass := l.passTime(now).Seconds(); pass > 0 {
 			requests += l.settled * slots[i]
 			passed += pass * l.settled * slots[i]
+			slowest = max(slowest, pass)
 		}
 		l.mu.Unlock()
 	}
 	for i, l := range groups {
 		l.mu.Lock()
-		aimed += slots[i] * l.aim(now, passed/max(requests, minGroupShare))
+		ownRequests, ownPassed := 0.0, 0.0
+		if pass := l.passTime(now).Seconds(); pass > 0 {
+			ownRequests = l.settled * slots[i]
+			ownPassed = pass * ownRequests
+		}
+		others := (passed - ownPassed) / max(requests-ownRequests, minGroupShare)
+		aimed += slots[i] * l.aim(now, passed/max(requests, minGroupShare), others, slowest)
 		all += slots[i]
 		l.mu.Unlock()
 	}
--- a/internal/request/balancer/lockstep_test.go
+++ b/internal/request/balancer/lockstep_test.go
@@ -227,13 +227,29 @@
 		})
 	})
 
-	It("that make no passes are relieved within a second", func() {
-		withGroups(func(g *passingGroups) {
-			g.stalled = 2
-			g.run(perSecond, time.Second)
-			g.run(perSecond, time.Second)
-			Expect(part(g, 2)).To(BeNumerically("<", 0.05))
-		})
+	It("of any number are relieved if they are slow or make no passes, with or without a longest pause", func() {
+		for _, groups := range []int{2, 3} {
+			for _, pause := range []time.Duration{0, longest} {
+				for _, harm := range []func(g *passingGroups){
+					func(g *passingGroups) { g.stalled = 1 },
+					func(g *passingGroups) { g.slowdown[1] = 12 },
+				} {
+					synctest.Test(suite, func(*testing.T) {
+						g := newPassingGroups(26, groups)
+						for _, e := range g.entries {
+							for _, l := range e.groups {
+								l.SetLongestPause(pause)
+							}
+						}
+						g.run(130, 4*time.Second)
+						harm(g)
+						g.run(130, time.Second)
+						g.run(130, time.Second)
+						Expect(part(g, 1)).To(BeNumerically("<", 0.05), "%d groups, pause %v", groups, pause)
+					})
+				}
+			}
+		}
 	})
 
 	It("say when they are relieved and when not any more", func() {
@@ -265,12 +281,17 @@
 			time.Sleep(50 * time.Millisecond)
 			l.RecordEvent(50 * time.Millisecond)
 			Expect(l.PassTime()).To(Equal(50 * time.Millisecond))
-			time.Sleep(400 * time.Millisecond)
-			Expect(l.PassTime()).To(Equal(400*time.Millisecond), "a stream waits")
+			time.Sleep(200 * time.Millisecond)
+			Expect(l.PassTime()).To(Equal(200*time.Millisecond), "a stream waits")
 			l.EndStream()
 			Expect(l.PassTime()).To(Equal(50*time.Millisecond), "none waits")
 			time.Sleep(2 * time.Second)
 			Expect(l.PassTime()).To(BeZero())
+			l.BeginStream()
+			Expect(l.PassTime()).To(BeZero(), "that was long ago")
+			time.Sleep(700 * time.Millisecond)
+			l.EndStream()
+			Expect(l.PassTime()).To(Equal(700*time.Millisecond), "streams that were given up had waited")
 		})
 	})
 })
--- a/internal/request/balancer/place.go
+++ b/internal/request/balancer/place.go
@@ -8,7 +8,7 @@
 	"github.com/cicadareel/cicadareel/internal/rendezvous"
 )
 
-// golden spreads the products of its multiples' fractions evenly over 0 to 1.
+// golden is the golden ratio. The fractions of its multiples are spread evenly.
 const golden = 0.6180339887498949
 
 // wordBits is the size of a word of Place.packed.
