--- a/internal/process/entry/directfleet.go
+++ b/internal/process/entry/directfleet.go
@@ -37,6 +37,8 @@
 	slowness *slowness.Tracker
 	log      *events.Log
 	bundle   atomic.Pointer[bundle.Bundle]
+	// place is that of this entry among the live ones.
+	place balancer.Place
 	// entryCount is the number of entries that share limits.
 	entryCount atomic.Int32
 	// liveEntries returns the names of the live entries, this one included. onLimitChange
@@ -234,7 +236,7 @@
 	e.update(info)
 	if info.Membership != nil {
 		e.joinGroup(f.group(info.Membership.Group))
-		e.group.applyAnnouncement(*info.Membership)
+		e.group.Load().applyAnnouncement(*info.Membership)
 	}
 	return changed
 }
@@ -259,7 +261,7 @@
 	}
 	f.pickers = map[string]*balancer.Picker{}
 	for group, all := range members {
-		f.pickers[group] = balancer.NewPicker(all, f.settings.FailureDomain)
+		f.pickers[group] = balancer.NewPickerAt(all, f.settings.FailureDomain, &f.place)
 	}
 }
 
@@ -321,7 +323,7 @@
 	for _, e := range f.endpoints {
 		switch {
 		case e.info.Group != group:
-		case e.group != nil && !e.group.usable():
+		case e.groupBrokenFor() > 0:
 			broken++
 		case e.member.IsUsable():
 			if pause := e.member.PausedFor(); pause > 0 {
