Correct first what another entry alone suspects

What callers saw: after a crash at one entry, two others refused sound requests for up to 6 s if their prompts had thousands of parts, though the first entry knew within the same instant that the parts were harmless.

Cause: a message has at most 256 records, the most important ones and a random run of the others. Records of parts that are not suspected are the least important, so that a correction came by chance. Found by the spec "are found behind any number of other parts": it depends on whether a crash or an answer of the same instant of the fake clock is recorded first.

Ruled out: longer messages (2,000 records are over 100 KB in each exchange).

Change: an entry that gets a message answers first with the records of the parts that the sender suspects and it does not.

Evidence: the unit test fails without the change (falsify line).

Conclusion: a wrong suspicion ends with the next exchange.

--- a/internal/connection/peer/tablegossip.go
+++ b/internal/connection/peer/tablegossip.go
@@ -323,7 +323,8 @@
 // those of the caller, or what changed in them.
 func (g *TableGossip) Mirror(_ context.Context, summary *wire.MirrorSummary) (*wire.MirrorUpdate, error) {
 	g.recordPeers(summary.GetSelf(), summary.GetPeers())
-	g.suspects.Merge(promptPartsFromWire(summary.GetPromptParts()))
+	suspects := promptPartsFromWire(summary.GetPromptParts())
+	g.suspects.Merge(suspects)
 	g.limits.ApplyLimits(limitsFromWire(summary.GetLimits()))
 	g.loads.RecordLoads(summary.GetSelf().GetInstance(), loadsFromWire(summary.GetLoads()))
 	theirs := map[mirror.Topic]table.Revision{}
@@ -336,7 +337,7 @@
 		Loads: loadsToWire(g.loads.Loads()),
 		Plans: plansToWire(g.loads.Plans()),
 
-		PromptParts: promptPartsToWire(g.suspects.Records()),
+		PromptParts: promptPartsToWire(g.suspects.RecordsFor(suspects)),
 		Limits:      limitsToWire(g.limits.Limits()),
 	}
 	for _, r := range g.slowness.SlowReports() {
--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -273,6 +273,33 @@
 	return all
 }
 
+// RecordsFor returns the Records for an entry that sent its own. Those of parts that it alone
+// suspects come first, since they end its refusals.
+func (t *Tracker) RecordsFor(theirs []Record) []Record {
+	wrong := map[string]bool{}
+	for _, r := range theirs {
+		if r.suspected() {
+			wrong[r.Part] = true
+		}
+	}
+	all := t.Records()
+	slices.SortStableFunc(all, func(a, b Record) int {
+		return compareBools(wrong[a.Part] && !a.suspected(), wrong[b.Part] && !b.suspected())
+	})
+	return all
+}
+
+// compareBools orders true before false.
+func compareBools(a, b bool) int {
+	switch {
+	case a && !b:
+		return -1
+	case b && !a:
+		return 1
+	}
+	return 0
+}
+
 // Merge adds what another entry knows, and what this one knows of the same parts.
 func (t *Tracker) Merge(records []Record) {
 	now := time.Now()
--- a/internal/request/quarantine/quarantine_test.go
+++ b/internal/request/quarantine/quarantine_test.go
@@ -159,6 +159,19 @@
 		exchange(a, b, time.Millisecond)
 		g.Expect(b.allows("new0")).To(BeFalse())
 	})
+	test(t, "that one entry alone suspects are corrected first by another one", func(g Gomega) {
+		a, b := newTestEntry("a"), newTestEntry("b")
+		parts := numbered("shared", many)
+		b.RecordAnswer(parts)
+		time.Sleep(time.Second)
+		b.crash("e1", waited, append(numbered("bad", 10), parts...)...)
+		a.crash("e1", waited, "shared7", "shared9")
+		g.Expect(b.Records()[0].Part).To(HavePrefix("bad"))
+		first := b.RecordsFor(a.Records())[:2]
+		g.Expect(first).To(ConsistOf(HaveField("Part", "shared7"), HaveField("Part", "shared9")))
+		a.Merge(first)
+		g.Expect(a.allows("shared7", "shared9")).To(BeTrue())
+	})
 	test(t, "of several crashes leave the last ones if there are too many", func(g Gomega) {
 		e := newTestEntry("a")
 		for i := range 4 {
--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -52,6 +52,7 @@
 quarantine=internal/request/quarantine
 without "a prompt part without a response is suspected after one crash" $quarantine/record.go 's/return !r.LastCrash.IsZero\(\)/return false/' ./internal/process/entry "prompt part that crashes"
 without "a response clears a prompt part" $quarantine/quarantine.go 's/r.LastAnswer = now/_ = now/' ./$quarantine ""
+without "parts that another entry suspects by mistake are corrected first" $quarantine/quarantine.go 's/wrong\[r.Part\] = true/_ = wrong/' ./$quarantine ""
 without "two crashes without a response make a prompt part suspect" $quarantine/record.go 's/return r.LastAnswer.Before\(r.PreviousCrash\)/return false/' ./$quarantine ""
 without "one trial at a time" $quarantine/quarantine.go 's/, r.LastTrial.Add\(trialTime\).Sub\(now\)/, 0/' ./$quarantine ""
 without "all parts of a prompt are read" platform/callerdialect.go 's/id = strings.TrimSpace\(id\); id != ""/id = strings.TrimSpace(id); id != "" \&\& len(shared) < 64/' ./internal/process/entry "behind any number"
