Suspect a whole request that callers repeat

Cause: the quarantine knew only parts of prompts that requests share.

Ruled out: a shared part that became deadly (others with it were answered); late news (suspicions reached other entries in 1 to 221 ms); requests beside the culprit as carriers; ranks that only stalled taken for crashed ones.

Change: a digest of method, host, target, body, client account and the header fields that determine the work is one more thing to suspect. It has neither the attempt's id nor the deadline nor the event to resume after. Of the requests at an endpoint that crashed, those that waited under 0.75 of the longest time go on; a request that is at a second crash is refused whatever it waited. An attempt that broke off waits up to 60 ms for what other entries know before it is repeated or given up. So a request ends at most two endpoints, and those at which copies of it begin before the entries have told each other, until its block is over.

Evidence: the specs "a request that crashes endpoints and is repeated" fail before (42 crashes where two are allowed; 4 of 4 specs), and so do the unit replays without the mechanisms (falsify lines).

Conclusion: the crashes that one request causes are bounded across attempts, entries and callers' retries.

--- a/internal/connection/caller/dialect.go
+++ b/internal/connection/caller/dialect.go
@@ -25,8 +25,11 @@
 	// 0 if not specified.
 	Cost float64
 	// SharedParts are the ids of the parts of the prompt that other requests may
-	// have as well, in order; empty if not specified.
+	// have as well, in order; empty if not specified. They hold no colon.
 	SharedParts []string
+	// WorkHeaders are the header fields that determine, beside the body, the work that the
+	// request is for an endpoint. Repeats of a request have the same ones.
+	WorkHeaders []string
 	// PrivateHeaders are the header fields that are not forwarded to endpoints.
 	PrivateHeaders []string
 }
--- a/internal/connection/caller/dispatch.go
+++ b/internal/connection/caller/dispatch.go
@@ -73,6 +73,9 @@
 	// onTrial is true once the request may be sent although a part of its prompt is
 	// suspected.
 	onTrial bool
+	// suspects are what may crash endpoints: the shared parts of the prompt and the key of
+	// the whole request.
+	suspects []string
 	// quarantined is the decision that refused the request; zero if none did.
 	quarantined quarantine.Decision
 	// late is true once the response missed an objective of its route, and timed once
@@ -102,6 +105,9 @@
 
 func newDispatch(s *Service, q *request, w *delivery) *dispatch {
 	d := &dispatch{service: s, request: q, delivery: w, query: q.query()}
+	if s.Quarantine != nil {
+		d.suspects = q.suspects()
+	}
 	w.onLate = func() {
 		d.late = true
 		d.recordTimeliness(true)
@@ -296,6 +302,7 @@
 		return finish{outcome: outcome.Unknown{Reason: outcome.Canceled}}
 	case promptSuspected:
 		x.Cancel()
+		d.awaitVerdict(ctx)
 		return d.replay(outcome.PromptQuarantined)
 	case endpointFailure:
 		return d.handleEndpointFailure(a, k)
--- a/internal/connection/caller/quarantine.go
+++ b/internal/connection/caller/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,16 @@
 	"github.com/cicadareel/cicadareel/internal/request/quarantine"
 )
 
+// suspects returns what of the request may crash endpoints. Repeats of it have the same key
+// at each entry, whichever events they ask for; requests of other client accounts have others.
+func (q *request) suspects() []string {
+	fields := [][]byte{[]byte(q.method), []byte(q.host), []byte(q.target), []byte(q.account.Name), q.body}
+	for _, name := range q.workHeaders {
+		fields = append(fields, []byte(q.header.Get(name)))
+	}
+	return append(slices.Clone(q.sharedParts), quarantine.RequestKey(fields))
+}
+
 // promptAllowed reports whether the request may be sent to an endpoint, as far as the
 // parts of its prompt are concerned. chosen is true once there is an endpoint for it.
 func (d *dispatch) promptAllowed(chosen bool) bool {
@@ -21,7 +32,7 @@
 	if chosen {
 		decide = d.service.Quarantine.BeginTrial
 	}
-	decision := decide(d.request.sharedParts)
+	decision := decide(d.suspects)
 	d.onTrial = decision.Trial && chosen
 	if !decision.Allowed {
 		d.quarantined = decision
@@ -33,18 +44,18 @@
 // endpoint begins to write its response. The function that it returns ends that and reports
 // whether the attempt was canceled.
 func (d *dispatch) waitForBegin(cancel context.CancelFunc) (recalled func() bool) {
-	if d.service.Quarantine == nil || len(d.request.sharedParts) == 0 {
+	if d.service.Quarantine == nil {
 		return func() bool { return false }
 	}
 	var canceled atomic.Bool
-	waiting := d.service.Quarantine.Wait(d.request.sharedParts, func() {
+	waiting := d.service.Quarantine.Wait(d.suspects, func() {
 		canceled.Store(true)
 		cancel()
 	})
 	d.delivery.onBegun = func() {
 		waiting.End()
 		if d.delivery.status == http.StatusOK {
-			d.service.Quarantine.RecordAnswer(d.request.sharedParts)
+			d.service.Quarantine.RecordAnswer(d.suspects)
 		}
 	}
 	return func() bool {
@@ -53,6 +64,10 @@
 	}
 }
 
+// verdictPollInterval is the time between two questions whether the request is still
+// suspected.
+const verdictPollInterval = 5 * time.Millisecond
+
 // maxLoggedParts bounds the parts of a prompt in a log line.
 const maxLoggedParts = 16
 
@@ -73,11 +88,24 @@
 		"endpoint": a.target.Member.Name, "begun": begun, "tookMs": waited.Milliseconds(),
 		"sharedParts": partsForLog(d.request.sharedParts),
 	})
-	if begun || d.service.Quarantine == nil || len(d.request.sharedParts) == 0 {
+	if begun || d.service.Quarantine == nil {
 		return
 	}
 	if d.service.Fleet.HasCrashed(ctx, a.target.Member.Name) {
-		d.service.Quarantine.RecordCrash(quarantine.Crash{Endpoint: a.target.Member.Name, Parts: d.request.sharedParts, Waited: waited})
+		d.service.Quarantine.RecordCrash(quarantine.Crash{Endpoint: a.target.Member.Name, Parts: d.suspects, Waited: waited})
+		d.awaitVerdict(ctx)
+	}
+}
+
+// awaitVerdict waits until other entries have told what they know of the crash that the
+// request may have caused, or until it is known not to be suspected.
+func (d *dispatch) awaitVerdict(ctx context.Context) {
+	for ctx.Err() == nil {
+		decision := d.service.Quarantine.Decide(d.suspects)
+		if decision.Allowed || decision.Undecided <= 0 {
+			return
+		}
+		sleep(ctx, min(decision.Undecided, verdictPollInterval))
 	}
 }
 
--- a/internal/connection/caller/request.go
+++ b/internal/connection/caller/request.go
@@ -62,6 +62,9 @@
 	// sharedParts are the ids of the parts of the prompt that other requests may
 	// have as well.
 	sharedParts []string
+	// workHeaders are the header fields that determine, beside the body, the work of an
+	// endpoint.
+	workHeaders []string
 	// ticket is empty if the request needs no admission.
 	ticket admission.Ticket
 	// overShare is true if the client account asks for more than its fair share.
@@ -92,7 +95,7 @@
 	}
 	q.header = forwardedHeader(r.Header, metadata.PrivateHeaders)
 	q.resumeAfter, q.cost = metadata.ResumeAfter, metadata.Cost
-	q.sharedParts = metadata.SharedParts
+	q.sharedParts, q.workHeaders = metadata.SharedParts, metadata.WorkHeaders
 	if metadata.IdempotencyKey != "" && !q.route.Idempotent {
 		q.key = claim.Key(q.account.Name, metadata.IdempotencyKey)
 	}
--- a/internal/connection/peer/promptmessages.go
+++ b/internal/connection/peer/promptmessages.go
@@ -35,6 +35,7 @@
 			LastTrialAge:     ageToWire(r.LastTrial),
 			Block:            DurationToWire(r.Block),
 			Endpoint:         r.Endpoint,
+			OtherEndpoint:    r.OtherEndpoint,
 			Likelihood:       r.Likelihood,
 		}
 	}
@@ -53,6 +54,7 @@
 			LastTrial:     ageFromWire(m.GetLastTrialAge()),
 			Block:         m.GetBlock().AsDuration(),
 			Endpoint:      m.GetEndpoint(),
+			OtherEndpoint: m.GetOtherEndpoint(),
 			Likelihood:    m.GetLikelihood(),
 		}
 	}
--- a/internal/connection/peer/promptmessages_test.go
+++ b/internal/connection/peer/promptmessages_test.go
@@ -17,7 +17,7 @@
 		ago := func(d time.Duration) time.Time { return time.Now().Add(-d) }
 		records := []quarantine.Record{{
 			Part: "p", LastCrash: ago(time.Second), PreviousCrash: ago(time.Minute), LastAnswer: ago(2 * time.Second),
-			LastTrial: ago(3 * time.Second), Block: 4 * time.Second, Endpoint: "e", Likelihood: 0.5,
+			LastTrial: ago(3 * time.Second), Block: 4 * time.Second, Endpoint: "e", OtherEndpoint: "o", Likelihood: 0.5,
 		}}
 		expectNoZeroField(t, reflect.ValueOf(records[0]))
 		expectEqual(t, promptPartsFromWire(promptPartsToWire(records)), records)
--- a/internal/process/entry/promptcrash_test.go
+++ b/internal/process/entry/promptcrash_test.go
@@ -226,3 +226,94 @@
 		})
 	})
 })
+
+// deadlyRequest is the prompt of a request that crashes endpoints by its own part alone.
+const deadlyRequest = "shared:40," + deadlyPart + ":600"
+
+// runWithDeadlyRequest sends sound requests and, every fifth time, deadlyRequest at the
+// entries in turn. It returns how many of the sound ones were answered at once.
+func (c *crashDeployment) runWithDeadlyRequest(d time.Duration) (answered, sent int) {
+	const interval = 50 * time.Millisecond
+	var callers sync.WaitGroup
+	var whole atomic.Int64
+	for i := range int(d / interval) {
+		sent++
+		callers.Go(func() {
+			if r := c.draft(i, fmt.Sprintf("s%d", i), fmt.Sprintf("shared:40,own%d:600", i)); r.status == http.StatusOK && r.complete {
+				whole.Add(1)
+			}
+		})
+		if i%5 == 0 {
+			callers.Go(func() { c.draft(i/5, fmt.Sprintf("d%d", i), deadlyRequest) })
+		}
+		time.Sleep(interval)
+	}
+	callers.Wait()
+	return int(whole.Load()), sent
+}
+
+var _ = Describe("a request that crashes endpoints and is repeated", func() {
+	const maxCrashes = 2
+
+	It("ends at most two, and others with the same shared part are served", func() {
+		withCrashes(3, func(c *crashDeployment) {
+			c.call200(0, "shared:40,first:600")
+			answered, sent := c.runWithDeadlyRequest(20 * time.Second)
+			Expect(len(c.crashes)).To(BeNumerically("<=", maxCrashes))
+			Expect(c.runsAfterCrashes(1, time.Second)).To(BeZero())
+			Expect(answered).To(BeNumerically(">=", sent*95/100))
+		})
+	})
+
+	It("ends one if a single caller repeats it at each entry", func() {
+		withCrashes(3, func(c *crashDeployment) {
+			c.call200(0, "shared:40,first:600")
+			for i := range 9 {
+				r := c.entries[i%3].call("/draft/x", fmt.Sprintf("d%d", i), withPrompt(deadlyRequest))
+				if i > 0 {
+					expectNotRun(r)
+					Expect(r.duration).To(BeZero())
+					Expect(r.retryAfter).To(BeNumerically(">", 30))
+				} else {
+					Expect(r.status).NotTo(Equal(http.StatusServiceUnavailable))
+				}
+				time.Sleep(callerRoundTrip)
+			}
+			Expect(c.crashes).To(HaveLen(1))
+		})
+	})
+
+	It("ends one if it is resumed in the middle of its response", func() {
+		withCrashes(3, func(c *crashDeployment) {
+			c.call200(0, "shared:40,first:600")
+			for i := range 4 {
+				c.entries[i%3].call("/draft/x", fmt.Sprintf("d%d", i), func(r *http.Request) {
+					withPrompt(deadlyRequest)(r)
+					r.Header.Set("Last-Event-Id", fmt.Sprint(i%2))
+				})
+				time.Sleep(callerRoundTrip)
+			}
+			Expect(c.crashes).To(HaveLen(1))
+		})
+	})
+
+	It("does not keep one from being served that was at the same endpoint for a shorter time", func() {
+		withCrashes(3, func(c *crashDeployment) {
+			c.call200(0, "shared:40,first:600")
+			var callers sync.WaitGroup
+			callers.Go(func() { c.draft(0, "d", deadlyRequest) })
+			time.Sleep(15 * time.Millisecond)
+			responses := make([]response, 12)
+			for i := range responses {
+				callers.Go(func() {
+					responses[i] = c.entries[i%3].call("/draft/x", fmt.Sprintf("s%d", i), withPrompt(fmt.Sprintf("shared:40,own%d:600", i)))
+				})
+			}
+			callers.Wait()
+			Expect(c.crashes).To(HaveLen(1))
+			for _, r := range responses {
+				Expect(r.status).To(Equal(http.StatusOK))
+			}
+		})
+	})
+})
--- a/internal/process/entry/storeenvironment.go
+++ b/internal/process/entry/storeenvironment.go
@@ -77,7 +77,7 @@
 	maps := newMapController(ctx, fleet, lease, expertswitch.NewPacer(s.Deployment.LinkRate()), log)
 	m.RegisterGauge("cicadareel_log_lines_dropped", "Log lines not written.", log.Dropped)
 	m.RegisterGauge("cicadareel_limited_accounts", "Client accounts that get less than they ask for.", controller.LimitedAccounts)
-	m.RegisterGauge("cicadareel_suspected_prompt_parts", "Parts of prompts that are suspected of crashing endpoints.", suspects.SuspectedParts)
+	m.RegisterGauge("cicadareel_suspected_prompt_parts", "Parts of prompts and whole requests that are suspected of crashing endpoints.", suspects.SuspectedParts)
 	m.RegisterGauge("cicadareel_limited_endpoints", "Endpoints that name a limit on their requests.", fleet.limitedEndpoints)
 	m.RegisterGauge("cicadareel_busiest_endpoint_percent", "Requests at the busiest endpoint in percent of the mean of its group.", fleet.busiestPercent)
 	m.RegisterGauge("cicadareel_store_era", "How often the store came back from a copy, as it counts.", func() int64 {
--- a/internal/request/quarantine/answered.go
+++ b/internal/request/quarantine/answered.go
@@ -8,8 +8,9 @@
 const (
 	// answerLifetime is how long an answer to a part counts at least.
 	answerLifetime = 10 * time.Minute
-	// maxAnswered bounds the parts of one generation.
-	maxAnswered = 65536
+	// maxAnswered bounds the parts of prompts of one generation, maxAnsweredRequests the
+	// whole requests.
+	maxAnswered, maxAnsweredRequests = 65536, 16384
 )
 
 // answeredParts remembers the parts to which endpoints responded within answerLifetime,
@@ -20,6 +21,8 @@
 	current, previous map[uint64]time.Time
 	// since is when the current generation began.
 	since time.Time
+	// limit bounds the parts of one generation.
+	limit int
 }
 
 // add records a response.
@@ -41,7 +44,7 @@
 
 // rotate begins a new generation if the current one is old or large.
 func (a *answeredParts) rotate(now time.Time) {
-	if a.current == nil || now.Sub(a.since) > answerLifetime || len(a.current) >= maxAnswered {
+	if a.current == nil || now.Sub(a.since) > answerLifetime || len(a.current) >= a.limit {
 		a.current, a.previous, a.since = map[uint64]time.Time{}, a.current, now
 	}
 }
--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -4,7 +4,17 @@
 // It answers a load in which requests that share one part of their prompts crash each
 // endpoint that begins to respond to one of them. Whatever else they share with other
 // requests, such as their client account or further parts, those are served: a part to which
-// endpoints have responded is not suspected. It does no input or output.
+// endpoints have responded is not suspected.
+//
+// It answers as well a load in which one request, which callers repeat, crashes each endpoint
+// that begins to respond to it, though all parts of its prompt are harmless. Of the requests
+// at an endpoint that crashes, those are suspected that waited about as long as the one that
+// waited longest; the others are repeated at once. One that is at a second crash is suspected
+// whatever it waited. Many endpoints that crash together, with no request at two of them, have
+// another cause. So a request ends at most two endpoints, and those at which copies of
+// it begin before entries have told each other, until its block is over.
+//
+// It does no input or output.
 package quarantine
 
 import (
@@ -35,11 +45,21 @@
 	// spread is by what part of it a block may be longer at one entry than at another, so
 	// that entries do not begin trials at the same time.
 	spread = 0.25
+	// verdictTime is how long after a crash other entries may tell that they know answers to
+	// a part, or a request that is likelier to have caused the crash.
+	verdictTime = 60 * time.Millisecond
 	// trialTime is how long a trial may take until an endpoint begins to respond. Other
 	// requests with the part are refused meanwhile.
 	trialTime = 5 * time.Second
 	// recordLifetime is how long a record is kept after its block.
 	recordLifetime = 10 * time.Minute
+	// unlikelyLifetime is how long the record of a whole request is kept that is less likely
+	// than another one to have caused the crash. It is longer than callers repeat a request.
+	unlikelyLifetime = 30 * time.Second
+	// togetherTime is the time within which endpoints crash together, manyTogether how many
+	// of them have another cause than one request and its copies.
+	togetherTime = 100 * time.Millisecond
+	manyTogether = 5
 	// maxRecords bounds the records that are kept. One crash can need as many as there are
 	// parts in a header field of 16 KiB.
 	maxRecords = 8192
@@ -59,15 +79,19 @@
 	// lessLikely are the suspected parts of records that are less likely than another one
 	// to have caused the same crash; nil after a change of records.
 	lessLikely map[string]bool
-	// answered remembers the parts to which endpoints responded.
-	answered answeredParts
+	// answered remembers the parts to which endpoints responded, answeredRequests the whole
+	// requests, which are more and would displace the parts.
+	answered, answeredRequests answeredParts
 	// waiting are the requests at endpoints that have not begun to respond.
 	waiting map[*Waiting]bool
 }
 
 // NewTracker returns a tracker that suspects nothing.
 func NewTracker(instance string, onChange func(Change)) *Tracker {
-	return &Tracker{instance: instance, onChange: onChange, records: map[string]Record{}, waiting: map[*Waiting]bool{}}
+	return &Tracker{
+		instance: instance, onChange: onChange, records: map[string]Record{}, waiting: map[*Waiting]bool{},
+		answered: answeredParts{limit: maxAnswered}, answeredRequests: answeredParts{limit: maxAnsweredRequests},
+	}
 }
 
 // Decision says whether a request may be sent to an endpoint.
@@ -80,6 +104,9 @@
 	Part string
 	// RetryAfter is how long requests with the part are refused.
 	RetryAfter time.Duration
+	// Undecided is how long other entries may still tell what they know of the crash
+	// because of which the request is refused; 0 if that time is over.
+	Undecided time.Duration
 }
 
 // Decide decides on a request whose prompt has the parts.
@@ -122,7 +149,7 @@
 
 // decide returns the decision on a request. The caller must hold mu.
 func (t *Tracker) decide(parts []string, now time.Time) Decision {
-	allowed, refused := Decision{Allowed: true}, Decision{}
+	allowed, refused, undecided := Decision{Allowed: true}, Decision{}, verdictTime
 	if len(t.records) == 0 {
 		return allowed
 	}
@@ -133,11 +160,15 @@
 		}
 		allowed.Trial = true
 		wait := max(t.blockedUntil(r).Sub(now), r.LastTrial.Add(trialTime).Sub(now))
+		if wait > 0 {
+			undecided = min(undecided, r.undecided(now))
+		}
 		if wait > refused.RetryAfter {
-			refused = Decision{Part: part, RetryAfter: wait}
+			refused.Part, refused.RetryAfter = part, wait
 		}
 	}
 	if refused.Part != "" {
+		refused.Undecided = undecided
 		return refused
 	}
 	return allowed
@@ -147,7 +178,10 @@
 // mu.
 func (t *Tracker) blockedUntil(r Record) time.Time {
 	block := r.Block
-	if r.PreviousCrash.IsZero() && t.isLessLikely(r) {
+	if !r.repeated() && t.isLessLikely(r) {
+		if isRequest(r.Part) {
+			return time.Time{}
+		}
 		block = shortBlock
 	}
 	share := float64(rendezvous.Score(t.instance, r.Part)) / math.MaxUint64
@@ -180,7 +214,7 @@
 	var cleared []Record
 	t.mu.Lock()
 	for _, part := range parts {
-		t.answered.add(part, now)
+		t.answeredFor(part).add(part, now)
 		r, ok := t.records[part]
 		if !ok {
 			continue
@@ -219,7 +253,7 @@
 	for _, part := range slices.Backward(t.candidates(c.Parts)) {
 		before := t.records[part]
 		after := merge(before, Record{
-			Part: part, LastCrash: now, LastAnswer: t.answered.last(part, now), Block: firstBlock,
+			Part: part, LastCrash: now, LastAnswer: t.answeredFor(part).last(part, now), Block: firstBlock,
 			Endpoint: c.Endpoint, Likelihood: likelihood,
 		})
 		if before.suspected() && !sameEvent(before.LastCrash, now) {
@@ -229,7 +263,9 @@
 		if !after.suspected() {
 			continue
 		}
-		likelihood /= 2
+		if !isRequest(part) {
+			likelihood /= 2
+		}
 		if !sameEvent(before.LastCrash, now) {
 			suspected = append(suspected, after)
 		}
@@ -245,6 +281,14 @@
 	}
 }
 
+// answeredFor returns where answers to the part are remembered. The caller must hold mu.
+func (t *Tracker) answeredFor(part string) *answeredParts {
+	if isRequest(part) {
+		return &t.answeredRequests
+	}
+	return &t.answered
+}
+
 // candidates returns the parts that may have caused a crash: those that are suspected
 // already, else all. The caller must hold mu.
 func (t *Tracker) candidates(parts []string) []string {
@@ -311,7 +355,7 @@
 			continue
 		}
 		if !ok {
-			known = Record{Part: r.Part, LastAnswer: t.answered.last(r.Part, now)}
+			known = Record{Part: r.Part, LastAnswer: t.answeredFor(r.Part).last(r.Part, now)}
 		}
 		merged := merge(known, r)
 		t.store(merged)
@@ -349,12 +393,16 @@
 
 // expire removes old records. The caller must hold mu.
 func (t *Tracker) expire(now time.Time) {
+	var expired []string
 	for part, r := range t.records {
-		if r.expired(now) {
-			delete(t.records, part)
-			t.lessLikely = nil
+		if r.expired(now) || (isRequest(part) && now.Sub(r.LastCrash) > unlikelyLifetime && !r.repeated() && t.isLessLikely(r)) {
+			expired = append(expired, part)
 		}
 	}
+	for _, part := range expired {
+		delete(t.records, part)
+		t.lessLikely = nil
+	}
 }
 
 // trim removes the least important records if there are too many. It removes several, so
--- a/internal/request/quarantine/quarantine_test.go
+++ b/internal/request/quarantine/quarantine_test.go
@@ -282,13 +282,14 @@
 	test(t, "for records and answers", func(g Gomega) {
 		e := newTestEntry("a")
 		for i := range 3 * maxAnswered {
-			e.RecordAnswer([]string{fmt.Sprint("answered", i)})
+			e.RecordAnswer([]string{fmt.Sprint("answered", i), key(fmt.Sprint(i))})
 		}
 		for i := range 2 * maxRecords {
 			time.Sleep(time.Millisecond)
 			e.crash("e1", waited, fmt.Sprint("crashed", i))
 		}
 		g.Expect(len(e.answered.current) + len(e.answered.previous)).To(BeNumerically("<=", 2*maxAnswered))
+		g.Expect(len(e.answeredRequests.current) + len(e.answeredRequests.previous)).To(BeNumerically("<=", 2*maxAnsweredRequests))
 		g.Expect(len(e.Records())).To(BeNumerically("<=", maxRecords))
 		g.Expect(e.allows(fmt.Sprint("crashed", 2*maxRecords-1))).To(BeFalse())
 	})
--- a/internal/request/quarantine/record.go
+++ b/internal/request/quarantine/record.go
@@ -12,8 +12,8 @@
 // with each exchange.
 const eventTolerance = 2 * time.Second
 
-// Record is what is known of a part of prompts that may crash endpoints. Times are zero if
-// the event is not known.
+// Record is what is known of a part of prompts, or of a whole request, that may crash
+// endpoints. Times are zero if the event is not known.
 type Record struct {
 	Part string
 	// LastCrash is when an endpoint last crashed before it began to respond to a request
@@ -25,10 +25,11 @@
 	LastTrial time.Time
 	// Block is how long after LastCrash requests with the part are refused.
 	Block time.Duration
-	// Endpoint is the endpoint of LastCrash. Likelihood compares the parts that may have
-	// caused that crash.
-	Endpoint   string
-	Likelihood float64
+	// Endpoint is the endpoint of LastCrash, OtherEndpoint another one that crashed, which
+	// may have been within eventTolerance; empty if none is known. Likelihood compares the
+	// parts that may have caused that crash.
+	Endpoint, OtherEndpoint string
+	Likelihood              float64
 }
 
 // suspected reports whether the part may have caused the crashes. One crash says nothing
@@ -57,6 +58,7 @@
 		last = b
 	}
 	merged.Block, merged.Endpoint, merged.Likelihood = last.Block, last.Endpoint, last.Likelihood
+	merged.OtherEndpoint = otherEndpoint(merged.Endpoint, a, b)
 	crashes := distinctEvents(a.LastCrash, a.PreviousCrash, b.LastCrash, b.PreviousCrash)
 	if len(crashes) > 0 {
 		merged.LastCrash = crashes[0]
@@ -67,6 +69,31 @@
 	return merged
 }
 
+// otherEndpoint returns an endpoint in the records that is not the one given. Of several it
+// returns the first by name, so that entries agree.
+func otherEndpoint(endpoint string, records ...Record) string {
+	other := ""
+	for _, r := range records {
+		for _, name := range []string{r.Endpoint, r.OtherEndpoint} {
+			if name != "" && name != endpoint && (other == "" || name < other) {
+				other = name
+			}
+		}
+	}
+	return other
+}
+
+// repeated reports whether more than one crash is known, whatever caused each of them.
+func (r Record) repeated() bool { return !r.PreviousCrash.IsZero() || r.OtherEndpoint != "" }
+
+// undecided returns how long other entries may still tell what they know of the only crash.
+func (r Record) undecided(now time.Time) time.Duration {
+	if r.repeated() {
+		return 0
+	}
+	return max(0, r.LastCrash.Add(verdictTime).Sub(now))
+}
+
 // describesBetter reports whether r says more of the last crash than other: that of r is
 // later, or it is the same and r has the higher likelihood.
 func (r Record) describesBetter(other Record) bool {
@@ -118,16 +145,22 @@
 }
 
 // lessLikelyParts returns the suspected parts that are less likely than another one to have
-// caused the same crash.
+// caused the same crash. Whole requests are compared with each other only; none of them is
+// likely if many endpoints crashed together.
 func lessLikelyParts(records map[string]Record) map[string]bool {
-	byEndpoint := map[string][]Record{}
+	type suspectGroup struct {
+		endpoint string
+		request  bool
+	}
+	groups := map[suspectGroup][]Record{}
 	for _, r := range records {
 		if r.suspected() {
-			byEndpoint[r.Endpoint] = append(byEndpoint[r.Endpoint], r)
+			group := suspectGroup{endpoint: r.Endpoint, request: isRequest(r.Part)}
+			groups[group] = append(groups[group], r)
 		}
 	}
 	less := map[string]bool{}
-	for _, suspects := range byEndpoint {
+	for _, suspects := range groups {
 		slices.SortFunc(suspects, func(a, b Record) int { return a.LastCrash.Compare(b.LastCrash) })
 		// window holds the suspects of the same crash as r that no later one in it exceeds in
 		// likelihood, so that its first is the likeliest.
@@ -148,5 +181,33 @@
 			}
 		}
 	}
+	crashes := crashTimes(records)
+	for _, r := range records {
+		if isRequest(r.Part) && manyCrashed(crashes, r) {
+			less[r.Part] = true
+		}
+	}
 	return less
 }
+
+// crashTimes returns the time of the last crash of each endpoint that whole requests were at.
+func crashTimes(records map[string]Record) map[string]time.Time {
+	crashes := map[string]time.Time{}
+	for _, r := range records {
+		if at, ok := crashes[r.Endpoint]; isRequest(r.Part) && (!ok || r.LastCrash.After(at)) {
+			crashes[r.Endpoint] = r.LastCrash
+		}
+	}
+	return crashes
+}
+
+// manyCrashed reports whether many endpoints crashed together with that of the record.
+func manyCrashed(crashes map[string]time.Time, r Record) bool {
+	together := 0
+	for _, at := range crashes {
+		if at.Sub(r.LastCrash).Abs() <= togetherTime {
+			together++
+		}
+	}
+	return together >= manyTogether
+}
--- a/internal/request/quarantine/waiting.go
+++ b/internal/request/quarantine/waiting.go
@@ -36,7 +36,7 @@
 	}
 	likely := map[string]bool{}
 	for _, r := range suspected {
-		if !t.isLessLikely(r) {
+		if r.repeated() || !t.isLessLikely(r) {
 			likely[r.Part] = true
 		}
 	}
--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -52,6 +52,12 @@
 quarantine=internal/request/quarantine
 without "a prompt part without a response is suspected after one crash" $quarantine/record.go 's/return !r.LastCrash.IsZero\(\)/return false/' ./internal/process/entry "prompt part that crashes"
 without "a response clears a prompt part" $quarantine/quarantine.go 's/r.LastAnswer = now/_ = now/' ./$quarantine ""
+without "a whole request is suspected" internal/connection/caller/quarantine.go 's/return append\(slices.Clone\(q.sharedParts\), (.*)\)$/_ = \1; return slices.Clone(q.sharedParts)/' ./internal/process/entry "request that crashes endpoints and is repeated"
+without "a request at two crashes is suspected whatever it waited" $quarantine/quarantine.go 's/!r.repeated\(\) \&\& t.isLessLikely/t.isLessLikely/' ./$quarantine ""
+without "requests that waited less than the cause go on" $quarantine/quarantine.go 's/return time.Time\{\}/return r.LastCrash.Add(block)/' ./$quarantine ""
+without "many endpoints that crash together have another cause than a request" $quarantine/record.go 's/if isRequest\(r.Part\) \&\& manyCrashed/if false \&\& manyCrashed/' ./$quarantine ""
+without "answers to requests do not displace those to parts" $quarantine/quarantine.go 's/return \&t.answeredRequests/return \&t.answered/' ./$quarantine ""
+without "a request waits for what others know of the crash" internal/connection/caller/quarantine.go 's/if decision.Allowed \|\| decision.Undecided <= 0/if true/' ./internal/process/entry "for a shorter time"
 without "parts that another entry suspects by mistake are corrected first" $quarantine/quarantine.go 's/wrong\[r.Part\] = true/_ = wrong/' ./$quarantine ""
 without "two crashes without a response make a prompt part suspect" $quarantine/record.go 's/return r.LastAnswer.Before\(r.PreviousCrash\)/return false/' ./$quarantine ""
 without "one trial at a time" $quarantine/quarantine.go 's/, r.LastTrial.Add\(trialTime\).Sub\(now\)/, 0/' ./$quarantine ""
