End a trial with the crash that it causes

What would be seen: a request that is sent as a trial after its block, and crashes the endpoint, was sent to another endpoint in the same attempt and ended that too.

Cause: a dispatch that was allowed a trial skipped all further decisions, so that a refusal by an endpoint (421, shed) does not use up the trial. A crash did not end that.

Change: the permission ends once the endpoint is known to have crashed.

Conclusion: a trial costs one endpoint at most.

--- a/internal/connection/caller/quarantine.go
+++ b/internal/connection/caller/quarantine.go
@@ -92,6 +92,7 @@
 		return
 	}
 	if d.service.Fleet.HasCrashed(ctx, a.target.Member.Name) {
+		d.onTrial = false
 		d.service.Quarantine.RecordCrash(quarantine.Crash{Endpoint: a.target.Member.Name, Parts: d.suspects, Waited: waited})
 		d.awaitVerdict(ctx)
 	}
--- a/internal/process/entry/promptcrash_test.go
+++ b/internal/process/entry/promptcrash_test.go
@@ -297,6 +297,18 @@
 		})
 	})
 
+	It("ends one more once its block is over", func() {
+		withCrashes(3, func(c *crashDeployment) {
+			c.call200(0, "shared:40,first:600")
+			c.draft(0, "first", deadlyRequest)
+			time.Sleep(80 * time.Second)
+			for i := range 6 {
+				c.draft(i, fmt.Sprintf("d%d", i), deadlyRequest)
+			}
+			Expect(c.crashes).To(HaveLen(2))
+		})
+	})
+
 	It("does not keep one from being served that was at the same endpoint for a shorter time", func() {
 		withCrashes(3, func(c *crashDeployment) {
 			c.call200(0, "shared:40,first:600")
