Count crashes of prompt parts at different times only

What would be seen: a new harmless part of two requests at two endpoints that crash within 2 s (a failure domain is lost) was refused for a minute in place of 5 s.

Cause: since whole requests are suspected, crashes at two endpoints count as two also within the tolerance of one event. Many requests have a part, one has a key.

Change: that holds for whole requests alone; parts are judged as before.

Evidence: the new unit test fails before and passes now.

--- a/internal/request/quarantine/quarantine_test.go
+++ b/internal/request/quarantine/quarantine_test.go
@@ -108,6 +108,16 @@
 		g.Expect(e.allows("young")).To(BeTrue())
 		g.Expect(e.allows("old")).To(BeFalse())
 	})
+	test(t, "of a new part at two endpoints that crash at once is no stronger than at one", func(g Gomega) {
+		e := newTestEntry("a")
+		for _, endpoint := range []string{"e1", "e2"} {
+			e.crash(endpoint, waited/4, "young")
+			e.crash(endpoint, waited, "old "+endpoint)
+			time.Sleep(waited)
+		}
+		time.Sleep(2 * shortBlock)
+		g.Expect(e.allows("young")).To(BeTrue())
+	})
 	test(t, "of several new parts of one request, most of the last", func(g Gomega) {
 		e := newTestEntry("a")
 		e.crash("e1", waited, "first", "last")
--- a/internal/request/quarantine/record.go
+++ b/internal/request/quarantine/record.go
@@ -83,8 +83,11 @@
 	return other
 }
 
-// repeated reports whether more than one crash is known, whatever caused each of them.
-func (r Record) repeated() bool { return !r.PreviousCrash.IsZero() || r.OtherEndpoint != "" }
+// repeated reports whether more than one crash is known, whatever caused each of them. Of
+// parts of prompts, which many requests may have, only crashes at different times count.
+func (r Record) repeated() bool {
+	return !r.PreviousCrash.IsZero() || (isRequest(r.Part) && r.OtherEndpoint != "")
+}
 
 // undecided returns how long other entries may still tell what they know of the only crash.
 func (r Record) undecided(now time.Time) time.Duration {
