Take any response to a request as a sign that it is harmless

What would be seen: a request that was suspected after an ordinary crash, and to which endpoints respond with 204, 404 or 500, was sent once in 5 s only, each time as a trial, until its record expired 10 minutes later.

Cause: only a success whose body began cleared what is suspected. For a part of a prompt that is right: an error may come before the part is read. A request that has any response did not crash its endpoint.

Change: other responses clear the whole request, not its parts.

Evidence: the spec "is served again once endpoints respond to it, whatever the response" fails before (503 in place of the response) and passes now.

--- a/internal/connection/caller/dispatch.go
+++ b/internal/connection/caller/dispatch.go
@@ -281,6 +281,7 @@
 	recalled := d.waitForBegin(cancel)
 	r := d.delivery.forward(grace, x)
 	wasRecalled := recalled()
+	d.recordResponse(r)
 	_, broken := r.(transportBroken)
 	switch {
 	case broken && wasRecalled:
--- a/internal/connection/caller/quarantine.go
+++ b/internal/connection/caller/quarantine.go
@@ -64,6 +64,18 @@
 	}
 }
 
+// recordResponse records that an endpoint responded to the whole request. Any response shows
+// that it does not crash endpoints; of the parts of its prompt only a begun success does.
+func (d *dispatch) recordResponse(r deliveryResult) {
+	if len(d.suspects) == 0 || (d.delivery.attemptBegun && d.delivery.status == http.StatusOK) {
+		return
+	}
+	switch r.(type) {
+	case completed, endpointFailure:
+		d.service.Quarantine.RecordAnswer(d.suspects[len(d.suspects)-1:])
+	}
+}
+
 // verdictPollInterval is the time between two questions whether the request is still
 // suspected.
 const verdictPollInterval = 5 * time.Millisecond
--- a/internal/process/entry/promptcrash_test.go
+++ b/internal/process/entry/promptcrash_test.go
@@ -252,6 +252,43 @@
 	return int(whole.Load()), sent
 }
 
+// withPlainCrash runs the body with endpoints whose first request crashes its endpoint, and
+// whose later ones have an empty response with the status.
+func withPlainCrash(status int, body func(c *crashDeployment)) {
+	withFakeClock(func() {
+		c := &crashDeployment{deployment: newDeployment(), servers: map[string]*http.Server{}}
+		defer c.close()
+		c.configure(func(config map[string]any) {
+			config["services"] = []any{map[string]any{"name": "plain", "max_connections": 100}}
+			config["routes"] = []any{route("look", "unsafe", "plain", nil)}
+		})
+		for i := range 3 {
+			name := fmt.Sprint("plain-", i)
+			k := &standin.Worker{Name: name, StepTime: 10 * time.Millisecond}
+			c.servers[name] = c.listenAndServe(addressOf(name), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				switch {
+				case !strings.HasPrefix(r.URL.Path, "/look/"):
+					k.ServeHTTP(w, r)
+				case len(c.crashes) == 0:
+					c.crashes = append(c.crashes, time.Now())
+					_ = c.servers[name].Close()
+					panic(http.ErrAbortHandler)
+				default:
+					w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+					w.Header().Set("X-Upstream-Signature", name)
+					w.WriteHeader(status)
+				}
+			}))
+			c.announce(name, "plain", "a", addressOf(name), nil)
+		}
+		c.startEntry("a").waitUntilReady()
+		time.Sleep(retryWindow)
+		body(c)
+	})
+}
+
 var _ = Describe("a request that crashes endpoints and is repeated", func() {
 	const maxCrashes = 2
 
@@ -309,6 +346,20 @@
 		})
 	})
 
+	It("is served again once endpoints respond to it, whatever the response", func() {
+		for _, status := range []int{http.StatusOK, http.StatusNoContent, http.StatusNotFound, http.StatusInternalServerError} {
+			withPlainCrash(status, func(c *crashDeployment) {
+				look := func(id string) int { return c.entries[0].call("/look/x", id, nil).status }
+				Expect(look("crashes")).To(Equal(http.StatusBadGateway))
+				Expect(look("refused")).To(Equal(http.StatusServiceUnavailable))
+				time.Sleep(80 * time.Second)
+				for i := range 3 {
+					Expect(look(fmt.Sprint("later", i))).To(Equal(status))
+				}
+			})
+		}
+	})
+
 	It("does not keep one from being served that was at the same endpoint for a shorter time", func() {
 		withCrashes(3, func(c *crashDeployment) {
 			c.call200(0, "shared:40,first:600")
