Tell requests apart by all header fields of a name

Cause: the key of a whole request had the first field of each name only, while the parts of a prompt are read from all of them since. Requests that differ in a later field would have been refused together.

Evidence: TestSuspects fails before ("Prompt" split in two, and with a second field) and passes now.

--- a/internal/connection/caller/quarantine.go
+++ b/internal/connection/caller/quarantine.go
@@ -17,7 +17,7 @@
 func (q *request) suspects() []string {
 	fields := [][]byte{[]byte(q.method), []byte(q.host), []byte(q.target), []byte(q.account.Name), q.body}
 	for _, name := range q.workHeaders {
-		fields = append(fields, []byte(q.header.Get(name)))
+		fields = append(fields, []byte(strings.Join(q.header.Values(name), ",")))
 	}
 	return append(slices.Clone(q.sharedParts), quarantine.RequestKey(fields))
 }
