Refuse a plain request only after a second crash

What callers saw: after an ordinary crash of one endpoint, the safe request that had waited longest there was given up (502) and its repeats refused for a minute, while another endpoint would have served it.

Cause: whole requests were judged after one crash whatever a crash costs. That is right for prompts, whose crash may cost a lock-step group; a plain request costs one endpoint.

Change: a request without parts of a prompt is refused once it was at two crashes. An attempt that is taken back ends its trial too.

Evidence: the spec "is served by another endpoint if it is plain" fails before and passes now.

--- a/internal/connection/caller/dispatch.go
+++ b/internal/connection/caller/dispatch.go
@@ -303,6 +303,7 @@
 		return finish{outcome: outcome.Unknown{Reason: outcome.Canceled}}
 	case promptSuspected:
 		x.Cancel()
+		d.onTrial = false
 		d.awaitVerdict(ctx)
 		return d.replay(outcome.PromptQuarantined)
 	case endpointFailure:
--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -250,6 +250,10 @@
 	// A request that has waited longer is likelier to be the one to which the endpoint was
 	// about to respond, and a later part of its prompt to be new.
 	likelihood := c.Waited.Seconds()
+	if len(c.Parts) == 1 && isRequest(c.Parts[0]) {
+		// A plain request costs one endpoint, and is refused after a second crash only.
+		likelihood = 0
+	}
 	for _, part := range slices.Backward(t.candidates(c.Parts)) {
 		before := t.records[part]
 		after := merge(before, Record{
--- a/internal/request/quarantine/record.go
+++ b/internal/request/quarantine/record.go
@@ -149,7 +149,7 @@
 
 // lessLikelyParts returns the suspected parts that are less likely than another one to have
 // caused the same crash. Whole requests are compared with each other only; none of them is
-// likely if many endpoints crashed together.
+// likely if many endpoints crashed together, and none that has a likelihood of zero.
 func lessLikelyParts(records map[string]Record) map[string]bool {
 	type suspectGroup struct {
 		endpoint string
@@ -186,7 +186,7 @@
 	}
 	crashes := crashTimes(records)
 	for _, r := range records {
-		if isRequest(r.Part) && manyCrashed(crashes, r) {
+		if isRequest(r.Part) && (r.Likelihood == 0 || manyCrashed(crashes, r)) {
 			less[r.Part] = true
 		}
 	}
