Take a request back once it is at a second crash

Cause: copies at endpoints were taken back as their request became suspected. One that was less likely than another request at its first crash was suspected, but not refused; its second crash took nothing back and logged nothing.

Change: a record that becomes one of several crashes counts as a new suspicion.

Evidence: the new unit test fails before (no copy taken back) and passes now.

--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -270,7 +270,7 @@
 		if !isRequest(part) {
 			likelihood /= 2
 		}
-		if !sameEvent(before.LastCrash, now) {
+		if !sameEvent(before.LastCrash, now) || (after.repeated() && !before.repeated()) {
 			suspected = append(suspected, after)
 		}
 	}
@@ -364,7 +364,7 @@
 		merged := merge(known, r)
 		t.store(merged)
 		switch {
-		case merged.suspected() && !known.suspected():
+		case merged.suspected() && (!known.suspected() || (merged.repeated() && !known.repeated())):
 			suspected = append(suspected, merged)
 		case known.suspected() && !merged.suspected():
 			cleared = append(cleared, merged)
--- a/internal/request/quarantine/request_test.go
+++ b/internal/request/quarantine/request_test.go
@@ -152,6 +152,20 @@
 		e.crash("e1", waited, "shared", key("deadly"))
 		g.Expect(e.allows("shared", key("other"))).To(BeTrue())
 	})
+	test(t, "is taken back from an endpoint once it is at a second crash", func(g Gomega) {
+		a, b := servingEntry("a"), servingEntry("b")
+		a.crash("e1", waited/2, "shared", key("deadly"))
+		a.crash("e1", waited, "shared", key("beside"))
+		exchange(a, b, time.Millisecond)
+		recalled := 0
+		for _, e := range []*testEntry{a, b} {
+			e.Wait([]string{"shared", key("deadly")}, func() { recalled++ })
+		}
+		b.crash("e2", waited/4, "shared", key("deadly"))
+		g.Expect(recalled).To(Equal(1))
+		exchange(a, b, time.Millisecond)
+		g.Expect(recalled).To(Equal(2))
+	})
 	test(t, "is taken back from an endpoint once it is suspected", func(g Gomega) {
 		a, b := servingEntry("a"), servingEntry("b")
 		recalled := false
--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -58,6 +58,7 @@
 without "many endpoints that crash together have another cause than a request" $quarantine/record.go 's/if isRequest\(r.Part\) \&\& manyCrashed/if false \&\& manyCrashed/' ./$quarantine ""
 without "answers to requests do not displace those to parts" $quarantine/quarantine.go 's/return \&t.answeredRequests/return \&t.answered/' ./$quarantine ""
 without "a trial ends with a crash" internal/connection/caller/quarantine.go 's/^\t\td.onTrial = false/\t\t_ = d.onTrial/' ./internal/process/entry "once its block is over"
+without "a request is taken back once it is at a second crash" $quarantine/quarantine.go 's/ \|\| \(merged.repeated\(\) \&\& !known.repeated\(\)\)//; s/ \|\| \(after.repeated\(\) \&\& !before.repeated\(\)\)//' ./$quarantine ""
 without "a plain request goes on after one crash" $quarantine/quarantine.go 's/^\t\tlikelihood = 0$/\t\t_ = likelihood/' ./internal/process/entry "if it is plain"
 without "any response to a request shows that it is harmless" internal/connection/caller/dispatch.go 's/^\td.recordResponse\(r\)/\t_ = d.recordResponse/' ./internal/process/entry "whatever the response"
 without "a request waits for what others know of the crash" internal/connection/caller/quarantine.go 's/if decision.Allowed \|\| decision.Undecided <= 0/if true/' ./internal/process/entry "for a shorter time"
