Keep the records of all requests at a crash as long as the others

Cause: the record of a request that was less likely than another one to have caused a crash was dropped after 30 s. A request repeated every 31 s, each time beside one that waited longer, ended an endpoint each time, and the records of many endpoints that crashed together expired one by one, which blocked the last ones.

Change: records are kept for 10 minutes after their block. The endpoints that crashed together are found by a search in a sorted list instead of a scan for each record.

--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -53,9 +53,6 @@
 	trialTime = 5 * time.Second
 	// recordLifetime is how long a record is kept after its block.
 	recordLifetime = 10 * time.Minute
-	// unlikelyLifetime is how long the record of a whole request is kept that is less likely
-	// than another one to have caused the crash. It is longer than callers repeat a request.
-	unlikelyLifetime = 30 * time.Second
 	// togetherTime is the time within which endpoints crash together, manyTogether how many
 	// of them have another cause than one request and its copies.
 	togetherTime = 100 * time.Millisecond
@@ -397,16 +394,12 @@
 
 // expire removes old records. The caller must hold mu.
 func (t *Tracker) expire(now time.Time) {
-	var expired []string
 	for part, r := range t.records {
-		if r.expired(now) || (isRequest(part) && now.Sub(r.LastCrash) > unlikelyLifetime && !r.repeated() && t.isLessLikely(r)) {
-			expired = append(expired, part)
+		if r.expired(now) {
+			delete(t.records, part)
+			t.lessLikely = nil
 		}
 	}
-	for _, part := range expired {
-		delete(t.records, part)
-		t.lessLikely = nil
-	}
 }
 
 // trim removes the least important records if there are too many. It removes several, so
--- a/internal/request/quarantine/record.go
+++ b/internal/request/quarantine/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -193,24 +194,21 @@
 	return less
 }
 
-// crashTimes returns the time of the last crash of each endpoint that whole requests were at.
-func crashTimes(records map[string]Record) map[string]time.Time {
-	crashes := map[string]time.Time{}
+// crashTimes returns the times of the last crashes of the endpoints that whole requests were
+// at, in order.
+func crashTimes(records map[string]Record) []time.Time {
+	byEndpoint := map[string]time.Time{}
 	for _, r := range records {
-		if at, ok := crashes[r.Endpoint]; isRequest(r.Part) && (!ok || r.LastCrash.After(at)) {
-			crashes[r.Endpoint] = r.LastCrash
+		if at, ok := byEndpoint[r.Endpoint]; isRequest(r.Part) && (!ok || r.LastCrash.After(at)) {
+			byEndpoint[r.Endpoint] = r.LastCrash
 		}
 	}
-	return crashes
+	return slices.SortedFunc(maps.Values(byEndpoint), time.Time.Compare)
 }
 
 // manyCrashed reports whether many endpoints crashed together with that of the record.
-func manyCrashed(crashes map[string]time.Time, r Record) bool {
-	together := 0
-	for _, at := range crashes {
-		if at.Sub(r.LastCrash).Abs() <= togetherTime {
-			together++
-		}
-	}
-	return together >= manyTogether
+func manyCrashed(crashes []time.Time, r Record) bool {
+	first, _ := slices.BinarySearchFunc(crashes, r.LastCrash.Add(-togetherTime), time.Time.Compare)
+	last := first + manyTogether - 1
+	return last < len(crashes) && !crashes[last].After(r.LastCrash.Add(togetherTime))
 }
--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -55,7 +55,7 @@
 without "a whole request is suspected" internal/connection/caller/quarantine.go 's/return append\(slices.Clone\(q.sharedParts\), (.*)\)$/_ = \1; return slices.Clone(q.sharedParts)/' ./internal/process/entry "request that crashes endpoints and is repeated"
 without "a request at two crashes is suspected whatever it waited" $quarantine/quarantine.go 's/!r.repeated\(\) \&\& t.isLessLikely/t.isLessLikely/' ./$quarantine ""
 without "requests that waited less than the cause go on" $quarantine/quarantine.go 's/return time.Time\{\}/return r.LastCrash.Add(block)/' ./$quarantine ""
-without "many endpoints that crash together have another cause than a request" $quarantine/record.go 's/if isRequest\(r.Part\) \&\& manyCrashed/if false \&\& manyCrashed/' ./$quarantine ""
+without "many endpoints that crash together have another cause than a request" $quarantine/record.go 's/return last < len\(crashes\) \&\&/return last < 0 \&\&/' ./$quarantine ""
 without "answers to requests do not displace those to parts" $quarantine/quarantine.go 's/return \&t.answeredRequests/return \&t.answered/' ./$quarantine ""
 without "a trial ends with a crash" internal/connection/caller/quarantine.go 's/^\t\td.onTrial = false/\t\t_ = d.onTrial/' ./internal/process/entry "once its block is over"
 without "a request is taken back once it is at a second crash" $quarantine/quarantine.go 's/ \|\| \(merged.repeated\(\) \&\& !known.repeated\(\)\)//; s/ \|\| \(after.repeated\(\) \&\& !before.repeated\(\)\)//' ./$quarantine ""
