--- a/internal/process/entry/promptcrash_test.go
+++ b/internal/process/entry/promptcrash_test.go
@@ -226,3 +226,168 @@
 		})
 	})
 })
+
+// deadlyRequest is the prompt of a request that crashes endpoints by its own part alone.
+const deadlyRequest = "shared:40," + deadlyPart + ":600"
+
+// runWithDeadlyRequest sends sound requests and, every fifth time, deadlyRequest at the
+// entries in turn. It returns how many of the sound ones were answered at once.
+func (c *crashDeployment) runWithDeadlyRequest(d time.Duration) (answered, sent int) {
+	const interval = 50 * time.Millisecond
+	var callers sync.WaitGroup
+	var whole atomic.Int64
+	for i := range int(d / interval) {
+		sent++
+		callers.Go(func() {
+			if r := c.draft(i, fmt.Sprintf("s%d", i), fmt.Sprintf("shared:40,own%d:600", i)); r.status == http.StatusOK && r.complete {
+				whole.Add(1)
+			}
+		})
+		if i%5 == 0 {
+			callers.Go(func() { c.draft(i/5, fmt.Sprintf("d%d", i), deadlyRequest) })
+		}
+		time.Sleep(interval)
+	}
+	callers.Wait()
+	return int(whole.Load()), sent
+}
+
+// withPlainCrash runs the body with a route of the kind to endpoints of which the first
+// requests crash theirs, and whose later ones have an empty response with the status.
+func withPlainCrash(kind string, crashes, status int, body func(c *crashDeployment)) {
+	withFakeClock(func() {
+		c := &crashDeployment{deployment: newDeployment(), servers: map[string]*http.Server{}}
+		defer c.close()
+		c.configure(func(config map[string]any) {
+			config["services"] = []any{map[string]any{"name": "plain", "max_connections": 100}}
+			config["routes"] = []any{route("look", kind, "plain", nil)}
+		})
+		for i := range 3 {
+			name := fmt.Sprint("plain-", i)
+			k := &standin.Worker{Name: name, StepTime: 10 * time.Millisecond}
+			c.servers[name] = c.listenAndServe(addressOf(name), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				time.Sleep(k.StepTime)
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				switch {
+				case !strings.HasPrefix(r.URL.Path, "/look/"):
+					k.ServeHTTP(w, r)
+				case len(c.crashes) < crashes:
+					c.crashes = append(c.crashes, time.Now())
+					_ = c.servers[name].Close()
+					panic(http.ErrAbortHandler)
+				default:
+					w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+					w.Header().Set("X-Upstream-Signature", name)
+					w.WriteHeader(status)
+				}
+			}))
+			c.announce(name, "plain", "a", addressOf(name), nil)
+		}
+		c.startEntry("a").waitUntilReady()
+		time.Sleep(retryWindow)
+		body(c)
+	})
+}
+
+var _ = Describe("a request that crashes endpoints and is repeated", func() {
+	const maxCrashes = 2
+
+	It("ends at most two, and others with the same shared part are served", func() {
+		withCrashes(3, func(c *crashDeployment) {
+			c.call200(0, "shared:40,first:600")
+			answered, sent := c.runWithDeadlyRequest(20 * time.Second)
+			Expect(len(c.crashes)).To(BeNumerically("<=", maxCrashes))
+			Expect(c.runsAfterCrashes(1, time.Second)).To(BeZero())
+			Expect(answered).To(BeNumerically(">=", sent*95/100))
+		})
+	})
+
+	It("ends one if a single caller repeats it at each entry", func() {
+		withCrashes(3, func(c *crashDeployment) {
+			c.call200(0, "shared:40,first:600")
+			for i := range 9 {
+				r := c.entries[i%3].call("/draft/x", fmt.Sprintf("d%d", i), withPrompt(deadlyRequest))
+				if i > 0 {
+					expectNotRun(r)
+					Expect(r.duration).To(BeZero())
+					Expect(r.retryAfter).To(BeNumerically(">", 30))
+				} else {
+					Expect(r.status).NotTo(Equal(http.StatusServiceUnavailable))
+				}
+				time.Sleep(callerRoundTrip)
+			}
+			Expect(c.crashes).To(HaveLen(1))
+		})
+	})
+
+	It("ends one if it is resumed in the middle of its response", func() {
+		withCrashes(3, func(c *crashDeployment) {
+			c.call200(0, "shared:40,first:600")
+			for i := range 4 {
+				c.entries[i%3].call("/draft/x", fmt.Sprintf("d%d", i), func(r *http.Request) {
+					withPrompt(deadlyRequest)(r)
+					r.Header.Set("Last-Event-Id", fmt.Sprint(i%2))
+				})
+				time.Sleep(callerRoundTrip)
+			}
+			Expect(c.crashes).To(HaveLen(1))
+		})
+	})
+
+	It("ends one more once its block is over", func() {
+		withCrashes(3, func(c *crashDeployment) {
+			c.call200(0, "shared:40,first:600")
+			c.draft(0, "first", deadlyRequest)
+			time.Sleep(80 * time.Second)
+			for i := range 6 {
+				c.draft(i, fmt.Sprintf("d%d", i), deadlyRequest)
+			}
+			Expect(c.crashes).To(HaveLen(2))
+		})
+	})
+
+	It("is served again once endpoints respond to it, whatever the response", func() {
+		for _, status := range []int{http.StatusOK, http.StatusNoContent, http.StatusNotFound, http.StatusInternalServerError} {
+			withPlainCrash("unsafe", 2, status, func(c *crashDeployment) {
+				look := func(id string) int { return c.entries[0].call("/look/x", id, nil).status }
+				Expect(look("crashes one")).To(Equal(http.StatusBadGateway))
+				Expect(look("crashes another")).To(Equal(http.StatusBadGateway))
+				Expect(look("refused")).To(Equal(http.StatusServiceUnavailable))
+				time.Sleep(80 * time.Second)
+				for i := range 3 {
+					Expect(look(fmt.Sprint("later", i))).To(Equal(status))
+				}
+			})
+		}
+	})
+
+	It("is served by another endpoint if it is plain and the first one crashes", func() {
+		withPlainCrash("safe", 1, http.StatusOK, func(c *crashDeployment) {
+			for i := range 3 {
+				Expect(c.entries[0].call("/look/x", fmt.Sprint("id", i), nil).status).To(Equal(http.StatusOK))
+			}
+			Expect(c.crashes).To(HaveLen(1))
+		})
+	})
+
+	It("does not keep one from being served that was at the same endpoint for a shorter time", func() {
+		withCrashes(3, func(c *crashDeployment) {
+			c.call200(0, "shared:40,first:600")
+			var callers sync.WaitGroup
+			callers.Go(func() { c.draft(0, "d", deadlyRequest) })
+			time.Sleep(15 * time.Millisecond)
+			responses := make([]response, 12)
+			for i := range responses {
+				callers.Go(func() {
+					responses[i] = c.entries[i%3].call("/draft/x", fmt.Sprintf("s%d", i), withPrompt(fmt.Sprintf("shared:40,own%d:600", i)))
+				})
+			}
+			callers.Wait()
+			Expect(c.crashes).To(HaveLen(1))
+			for _, r := range responses {
+				Expect(r.status).To(Equal(http.StatusOK))
+			}
+		})
+	})
+})
--- a/internal/request/quarantine/quarantine_test.go
+++ b/internal/request/quarantine/quarantine_test.go
@@ -108,6 +108,16 @@
 		g.Expect(e.allows("young")).To(BeTrue())
 		g.Expect(e.allows("old")).To(BeFalse())
 	})
+	test(t, "of a new part at two endpoints that crash at once is no stronger than at one", func(g Gomega) {
+		e := newTestEntry("a")
+		for _, endpoint := range []string{"e1", "e2"} {
+			e.crash(endpoint, waited/4, "young")
+			e.crash(endpoint, waited, "old "+endpoint)
+			time.Sleep(waited)
+		}
+		time.Sleep(2 * shortBlock)
+		g.Expect(e.allows("young")).To(BeTrue())
+	})
 	test(t, "of several new parts of one request, most of the last", func(g Gomega) {
 		e := newTestEntry("a")
 		e.crash("e1", waited, "first", "last")
@@ -282,13 +292,14 @@
 	test(t, "for records and answers", func(g Gomega) {
 		e := newTestEntry("a")
 		for i := range 3 * maxAnswered {
-			e.RecordAnswer([]string{fmt.Sprint("answered", i)})
+			e.RecordAnswer([]string{fmt.Sprint("answered", i), key(fmt.Sprint(i))})
 		}
 		for i := range 2 * maxRecords {
 			time.Sleep(time.Millisecond)
 			e.crash("e1", waited, fmt.Sprint("crashed", i))
 		}
 		g.Expect(len(e.answered.current) + len(e.answered.previous)).To(BeNumerically("<=", 2*maxAnswered))
+		g.Expect(len(e.answeredRequests.current) + len(e.answeredRequests.previous)).To(BeNumerically("<=", 2*maxAnsweredRequests))
 		g.Expect(len(e.Records())).To(BeNumerically("<=", maxRecords))
 		g.Expect(e.allows(fmt.Sprint("crashed", 2*maxRecords-1))).To(BeFalse())
 	})
--- a/internal/request/quarantine/record.go
+++ b/internal/request/quarantine/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -12,8 +13,8 @@
 // with each exchange.
 const eventTolerance = 2 * time.Second
 
-// Record is what is known of a part of prompts that may crash endpoints. Times are zero if
-// the event is not known.
+// Record is what is known of a part of prompts, or of a whole request, that may crash
+// endpoints. Times are zero if the event is not known.
 type Record struct {
 	Part string
 	// LastCrash is when an endpoint last crashed before it began to respond to a request
@@ -25,10 +26,11 @@
 	LastTrial time.Time
 	// Block is how long after LastCrash requests with the part are refused.
 	Block time.Duration
-	// Endpoint is the endpoint of LastCrash. Likelihood compares the parts that may have
-	// caused that crash.
-	Endpoint   string
-	Likelihood float64
+	// Endpoint is the endpoint of LastCrash, OtherEndpoint another one that crashed, which
+	// may have been within eventTolerance; empty if none is known. Likelihood compares the
+	// parts that may have caused that crash.
+	Endpoint, OtherEndpoint string
+	Likelihood              float64
 }
 
 // suspected reports whether the part may have caused the crashes. One crash says nothing
@@ -57,6 +59,7 @@
 		last = b
 	}
 	merged.Block, merged.Endpoint, merged.Likelihood = last.Block, last.Endpoint, last.Likelihood
+	merged.OtherEndpoint = otherEndpoint(merged.Endpoint, a, b)
 	crashes := distinctEvents(a.LastCrash, a.PreviousCrash, b.LastCrash, b.PreviousCrash)
 	if len(crashes) > 0 {
 		merged.LastCrash = crashes[0]
@@ -67,6 +70,34 @@
 	return merged
 }
 
+// otherEndpoint returns an endpoint in the records that is not the one given. Of several it
+// returns the first by name, so that entries agree.
+func otherEndpoint(endpoint string, records ...Record) string {
+	other := ""
+	for _, r := range records {
+		for _, name := range []string{r.Endpoint, r.OtherEndpoint} {
+			if name != "" && name != endpoint && (other == "" || name < other) {
+				other = name
+			}
+		}
+	}
+	return other
+}
+
+// repeated reports whether more than one crash is known, whatever caused each of them. Of
+// parts of prompts, which many requests may have, only crashes at different times count.
+func (r Record) repeated() bool {
+	return !r.PreviousCrash.IsZero() || (isRequest(r.Part) && r.OtherEndpoint != "")
+}
+
+// undecided returns how long other entries may still tell what they know of the only crash.
+func (r Record) undecided(now time.Time) time.Duration {
+	if r.repeated() {
+		return 0
+	}
+	return max(0, r.LastCrash.Add(verdictTime).Sub(now))
+}
+
 // describesBetter reports whether r says more of the last crash than other: that of r is
 // later, or it is the same and r has the higher likelihood.
 func (r Record) describesBetter(other Record) bool {
@@ -118,16 +149,22 @@
 }
 
 // lessLikelyParts returns the suspected parts that are less likely than another one to have
-// caused the same crash.
+// caused the same crash. Whole requests are compared with each other only; none of them is
+// likely if many endpoints crashed together, and none that has a likelihood of zero.
 func lessLikelyParts(records map[string]Record) map[string]bool {
-	byEndpoint := map[string][]Record{}
+	type suspectGroup struct {
+		endpoint string
+		request  bool
+	}
+	groups := map[suspectGroup][]Record{}
 	for _, r := range records {
 		if r.suspected() {
-			byEndpoint[r.Endpoint] = append(byEndpoint[r.Endpoint], r)
+			group := suspectGroup{endpoint: r.Endpoint, request: isRequest(r.Part)}
+			groups[group] = append(groups[group], r)
 		}
 	}
 	less := map[string]bool{}
-	for _, suspects := range byEndpoint {
+	for _, suspects := range groups {
 		slices.SortFunc(suspects, func(a, b Record) int { return a.LastCrash.Compare(b.LastCrash) })
 		// window holds the suspects of the same crash as r that no later one in it exceeds in
 		// likelihood, so that its first is the likeliest.
@@ -148,5 +185,30 @@
 			}
 		}
 	}
+	crashes := crashTimes(records)
+	for _, r := range records {
+		if isRequest(r.Part) && (r.Likelihood == 0 || manyCrashed(crashes, r)) {
+			less[r.Part] = true
+		}
+	}
 	return less
 }
+
+// crashTimes returns the times of the last crashes of the endpoints that whole requests were
+// at, in order.
+func crashTimes(records map[string]Record) []time.Time {
+	byEndpoint := map[string]time.Time{}
+	for _, r := range records {
+		if at, ok := byEndpoint[r.Endpoint]; isRequest(r.Part) && (!ok || r.LastCrash.After(at)) {
+			byEndpoint[r.Endpoint] = r.LastCrash
+		}
+	}
+	return slices.SortedFunc(maps.Values(byEndpoint), time.Time.Compare)
+}
+
+// manyCrashed reports whether many endpoints crashed together with that of the record.
+func manyCrashed(crashes []time.Time, r Record) bool {
+	first, _ := slices.BinarySearchFunc(crashes, r.LastCrash.Add(-togetherTime), time.Time.Compare)
+	last := first + manyTogether - 1
+	return last < len(crashes) && !crashes[last].After(r.LastCrash.Add(togetherTime))
+}
