Order requests by their route among accounts of the same priority

The account's priority replaced the route's, and all but one of the accounts in demand have the same, so nearly all requests carried the same urgency to the endpoints and the route's priority had no effect.

Ruled out: an effect of the penalties for late requests and limited accounts, which are added after that.

The account's priority still goes first; among equal ones the route's decides. It applies to groups whose routes differ in priority; the level then is the urgency that endpoints get. Earlier deployments have one priority per group and send what they sent.

The new spec fails without the change: both routes get urgency 1.

It is the order that admission by urgency needs.

--- a/internal/connection/caller/request.go
+++ b/internal/connection/caller/request.go
@@ -40,9 +40,12 @@
 	route   *bundle.Route
 	group   *bundle.Group
 	// version is that of the bundle against which the request was checked.
-	version  uint64
-	started  time.Time
-	deadline time.Time
+	version uint64
+	// level is the request's urgency among those to its group, 0 for the most urgent, and
+	// levels the number of these.
+	level, levels int
+	started       time.Time
+	deadline      time.Time
 	// priorWait estimates the time that the caller has spent on earlier requests:
 	// the route's timeout minus the caller's own.
 	priorWait time.Duration
@@ -117,6 +120,7 @@
 	if q.group == nil {
 		return &InvalidRequestError{outcome.NoEndpoint, "the route leads to no group"}
 	}
+	q.level, q.levels = b.Level(q.group.Name, q.account, q.route)
 	return nil
 }
 
@@ -197,6 +201,10 @@
 // continue at another endpoint.
 func (q *request) urgency(resumed bool) int {
 	u := leastUrgent - q.priority()
+	if q.levels > 1 {
+		// Requests that are on time go before all that are late.
+		u = min(q.level, latePenalty-1)
+	}
 	late := q.route.LatencyObjective > 0 && q.priorWait+time.Since(q.started) > q.route.LatencyObjective
 	switch {
 	case resumed:
--- a/internal/process/entry/requests_test.go
+++ b/internal/process/entry/requests_test.go
@@ -187,6 +187,27 @@
 		})
 	})
 
+	It("go by their client account, then by their route, where routes differ in priority", func() {
+		withPair(func() {
+			d.configure(func(c map[string]any) {
+				c["routes"] = []any{
+					route("look", "safe", "desk", func(r map[string]any) { r["priority"] = 2 }),
+					route("find", "safe", "desk", func(r map[string]any) { r["priority"] = 0 }),
+				}
+				c["tenants"] = []any{map[string]any{"name": "homeowners", "api_keys": []string{callerKey}, "priority": 1}}
+			})
+			time.Sleep(reactionTime)
+			priorities := map[string]string{}
+			for _, path := range []string{"/look/x", "/find/x"} {
+				e.call(path, path, nil)
+			}
+			for _, run := range append(one.Runs(), two.Runs()...) {
+				priorities[run.ID] = run.Header.Get("X-Request-Priority")
+			}
+			Expect(priorities["/find/x"] < priorities["/look/x"]).To(BeTrue(), "%v", priorities)
+		})
+	})
+
 	DescribeTable("that cannot be served get a status that says why", func(path, key, deadline, body string, status int) {
 		withPair(func() {
 			r := e.call(path, "r1", func(r *http.Request) {
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -178,8 +178,11 @@
 type index struct {
 	groups map[string]*Group
 	// routes holds the routes of each host, the longest path first.
-	routes              map[string][]*Route
-	endpoints           map[string]*Endpoint
+	routes    map[string][]*Route
+	endpoints map[string]*Endpoint
+	// levels holds the ranks of the requests to each group, the most urgent first. Groups
+	// whose routes have the same priority have none.
+	levels              map[string][]rank
 	accountsByTokenHash map[string]*ClientAccount
 }
 
@@ -189,11 +192,13 @@
 		endpoints:           make(map[string]*Endpoint, len(b.Endpoints)),
 		accountsByTokenHash: make(map[string]*ClientAccount, len(b.ClientAccounts)),
 		routes:              map[string][]*Route{},
+		levels:              map[string][]rank{},
 	}
 	for i := range b.Routes {
 		r := &b.Routes[i]
 		b.index.routes[r.Host] = append(b.index.routes[r.Host], r)
 	}
+	b.indexLevels()
 	for _, routes := range b.index.routes {
 		slices.SortStableFunc(routes, func(x, y *Route) int { return len(y.Path) - len(x.Path) })
 	}
