Admit requests by urgency where routes differ in priority

Each entry now decides by level from the requests in progress, which entries tell each other already: the least urgent leave 0.12 of the room free, the most urgent may exceed it by 0.25, those that come back get 0.1 more than new ones, no level gets less than 0.35 of the part of all. The room falls with the slots and rises over a second. Half of the last change is expected to go on, since the counts are old and all entries go by them. Nothing is turned away without counts of others. The limits of accounts that flood stay; the others give way where levels decide. It applies to groups whose routes differ in priority.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -61,6 +61,7 @@
 	PromptPartSuspected       Event = 409
 	PromptPartTried           Event = 410
 	PromptPartCleared         Event = 411
+	UrgencyDecides            Event = 412
 	GroupBroken               Event = 503
 	GroupOpen                 Event = 504
 	GroupRelieved             Event = 505
@@ -122,6 +123,7 @@
 	PromptPartSuspected:       "prompt part suspected of crashing endpoints",
 	PromptPartTried:           "request with suspected prompt part sent as a trial",
 	PromptPartCleared:         "prompt part no longer suspected",
+	UrgencyDecides:            "urgency decides what is admitted",
 	EventsOutOfOrder:          "endpoint sent events out of order",
 	GroupBroken:               "group of ranks broken",
 	GroupOpen:                 "group of ranks open",
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -89,6 +89,8 @@
 	// AccountLimited: the client account asks for more than its fair share of a group
 	// that cannot serve all requests.
 	AccountLimited Reason = "accountLimited"
+	// LessUrgent: the endpoints of a group have room for more urgent requests only.
+	LessUrgent Reason = "lessUrgent"
 	// PromptQuarantined: a part of the prompt is suspected of crashing endpoints.
 	PromptQuarantined Reason = "promptQuarantined"
 	// EventsOutOfOrder: an event's id does not follow the one before.
@@ -103,6 +105,6 @@
 		AlreadyAdmitted, NotReady, ClaimStoreDown, KeyReused, AnswerNotKept,
 		RetryBudgetSpent, EndpointUnreachable, EndpointBroke, ConnectionLost,
 		SealUnanswered, Canceled, ShuttingDown, Shed, EndpointFailed,
-		EventsOutOfOrder, AccountLimited, PromptQuarantined,
+		EventsOutOfOrder, AccountLimited, LessUrgent, PromptQuarantined,
 	}
 }
--- a/internal/process/entry/admissionloop.go
+++ b/internal/process/entry/admissionloop.go
@@ -22,6 +22,7 @@
 	defer ticker.Stop()
 	logged := map[string]time.Time{}
 	limited := map[string]bool{}
+	decides := map[string]bool{}
 	for {
 		select {
 		case <-ctx.Done():
@@ -29,6 +30,12 @@
 		case <-ticker.C:
 		}
 		c.Update()
+		for _, s := range c.Levels() {
+			if turnsAway := s.TurnedAway > 0; turnsAway || decides[s.Group] {
+				logLevels(l, s)
+				decides[s.Group] = turnsAway
+			}
+		}
 		for _, p := range c.PlansInForce() {
 			limits := len(p.Plan.Limits) > 0
 			changed := limits != limited[p.Group]
@@ -40,6 +47,13 @@
 	}
 }
 
+// logLevels logs what urgency decided since the last update.
+func logLevels(l *events.Log, s admission.LevelState) {
+	l.Info(events.UrgencyDecides, events.Fields{
+		"group": s.Group, "turnedAway": s.TurnedAway, "room": s.Room, "slots": s.Slots, "inProgress": s.InProgress,
+	})
+}
+
 // logPlan logs the limits of a plan and, if this entry made it, what it is based on.
 func logPlan(l *events.Log, p admission.GroupPlan) {
 	fields := events.Fields{"group": p.Group, "limitedAccounts": len(p.Plan.Limits)}
--- a/internal/process/entry/fleetload.go
+++ b/internal/process/entry/fleetload.go
@@ -28,6 +28,19 @@
 	return requests
 }
 
+// InProgress implements admission.Endpoints.
+func (f *directFleet) InProgress(group string) int {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	requests := 0
+	for _, e := range f.endpoints {
+		if e.info.Group == group && e.member.IsUsable() {
+			requests += e.member.OwnRequests() + e.member.OthersRequests()
+		}
+	}
+	return requests
+}
+
 // ApplyOthers implements admission.Endpoints.
 func (f *directFleet) ApplyOthers(group string, requests map[admission.EndpointKey]int) {
 	f.mu.RLock()
--- a/internal/request/admission/admission_test.go
+++ b/internal/request/admission/admission_test.go
@@ -162,6 +162,7 @@
 type noEndpoints struct{ others map[EndpointKey]int }
 
 func (noEndpoints) Slots(string) int                              { return 100 }
+func (noEndpoints) InProgress(string) int                         { return 0 }
 func (noEndpoints) Requests(string) map[EndpointKey]int           { return map[EndpointKey]int{1: 2} }
 func (e noEndpoints) ApplyOthers(_ string, n map[EndpointKey]int) { e.others[1] = n[1] }
 func newTestController(entries int) (*Controller, noEndpoints) {
--- a/internal/request/admission/controller.go
+++ b/internal/request/admission/controller.go
@@ -32,6 +32,9 @@
 	// Slots returns the number of requests that a group's usable endpoints run at the
 	// same time.
 	Slots(group string) int
+	// InProgress returns the requests at a group's usable endpoints: those of this entry,
+	// and what it knows of those of others.
+	InProgress(group string) int
 	// Requests returns this entry's requests in progress at the endpoints of a group.
 	Requests(group string) map[EndpointKey]int
 	// ApplyOthers applies the requests of other entries in progress at the endpoints of a
@@ -51,7 +54,8 @@
 	// reports holds the last loads that other entries reported, by instance.
 	reports map[string]report
 	// plans are the plans that this entry made last; nil if it knows too few loads, and
-	// without those of groups whose usual demands it does not know.
+	// without those of groups whose usual demands it does not know, unless their requests
+	// differ in urgency, which needs only the requests at endpoints.
 	plans []GroupPlan
 }
 
@@ -60,6 +64,7 @@
 	meter   *Meter
 	limiter *Limiter
 	planner *Planner
+	levels  *Levels
 	// reported is the load that this entry measured last, previous the one before, of
 	// which the plans of other entries know.
 	reported, previous Load
@@ -83,7 +88,7 @@
 	g := c.groups[name]
 	if g == nil {
 		m := NewMeter()
-		g = &group{meter: m, limiter: NewLimiter(m), planner: &Planner{}}
+		g = &group{meter: m, limiter: NewLimiter(m), planner: &Planner{}, levels: &Levels{}}
 		c.groups[name] = g
 	}
 	return g
@@ -95,11 +100,15 @@
 	g := c.group(groupName)
 	g.meter.CountArrival(r)
 	d := g.limiter.Decide(r)
+	if d.Admitted {
+		d = g.levels.Decide(r, d)
+	}
 	if !d.Admitted {
 		return d, Ticket{}
 	}
 	g.meter.Begin(r)
-	return d, Ticket{meter: g.meter, request: r, begun: time.Now()}
+	g.levels.Begin()
+	return d, Ticket{meter: g.meter, levels: g.levels, request: r, begun: time.Now()}
 }
 
 // Preview returns what Admit would decide on a request, and the plan in force with its age.
@@ -112,8 +121,9 @@
 
 // Ticket stands for an admitted request in progress. The zero value stands for none.
 type Ticket struct {
-	// meter is nil in the zero value.
+	// meter and levels are nil in the zero value.
 	meter   *Meter
+	levels  *Levels
 	request Request
 	begun   time.Time
 }
@@ -129,6 +139,7 @@
 func (t Ticket) End() {
 	if t.meter != nil {
 		t.meter.End(t.request, time.Since(t.begun))
+		t.levels.End()
 	}
 }
 
@@ -169,10 +180,12 @@
 	defer c.mu.Unlock()
 	for _, p := range plans {
 		g := c.groups[p.Group]
-		if g == nil || c.makesPlan(p.Group) || p.Plan.State.Usual == nil {
+		if g == nil || c.makesPlan(p.Group) || (p.Plan.State.Usual == nil && !g.levels.Active()) {
 			continue
 		}
-		g.planner.adopt(p.Plan.State)
+		if p.Plan.State.Usual != nil {
+			g.planner.adopt(p.Plan.State)
+		}
 		c.apply(p, g, g.previous)
 	}
 }
@@ -196,11 +209,14 @@
 		g.reported = g.meter.Load(float64(c.endpoints.Slots(name)))
 		g.reported.AtEndpoints = c.endpoints.Requests(name)
 		g.limiter.LearnUsual(g.reported)
+		plan, _ := g.limiter.Plan()
+		g.levels.Update(float64(c.endpoints.InProgress(name)), g.reported.Slots, plan.AtEndpoints != nil)
+		g.planner.leveled = g.levels.Active()
 		if !covered {
 			continue
 		}
 		p := GroupPlan{Group: name, Plan: g.planner.Update(c.loadsOf(name, g))}
-		if !g.planner.knowsUsual() {
+		if !g.planner.knowsUsual() && !g.planner.leveled {
 			continue
 		}
 		c.apply(p, g, g.reported)
@@ -252,3 +268,20 @@
 	}
 	return int64(limited)
 }
+
+// Levels returns what the levels of groups decide from whose requests differ in urgency,
+// ordered by group. It starts counting refusals anew.
+func (c *Controller) Levels() []LevelState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var states []LevelState
+	for name, g := range c.groups {
+		if g.levels.Active() {
+			s := g.levels.State()
+			s.Group = name
+			states = append(states, s)
+		}
+	}
+	slices.SortFunc(states, func(a, b LevelState) int { return strings.Compare(a.Group, b.Group) })
+	return states
+}
--- /dev/null
+++ b/internal/request/admission/levels_test.go
@@ -0,0 +1,116 @@
+package admission
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// decide asks levels for a decision on a request.
+func decide(l *Levels, level, levels int) bool {
+	return l.Decide(Request{Cost: 1, Level: level, Levels: levels}, Decision{Admitted: true}).Admitted
+}
+
+// fullLevels returns levels that know 100 slots, all taken, and requests of three levels.
+func fullLevels() *Levels {
+	l := &Levels{}
+	for range 10 {
+		time.Sleep(time.Second)
+		l.Update(100, 100, true)
+	}
+	for level := range 3 {
+		decide(l, level, 3)
+	}
+	return l
+}
+
+// occupy sets the requests in progress, which have not changed since the last update.
+func occupy(l *Levels, inProgress float64) {
+	l.Update(inProgress, 100, true)
+	l.Update(inProgress, 100, true)
+}
+
+func TestLevels(t *testing.T) {
+	tests := []struct {
+		name  string
+		check func(*testing.T, *Levels)
+	}{
+		{"slots are left free for more urgent requests", func(t *testing.T, l *Levels) {
+			occupy(l, 90)
+			if decide(l, 2, 3) || !decide(l, 1, 3) || !decide(l, 0, 3) {
+				t.Error("not the least urgent level alone is turned away")
+			}
+		}},
+		{"requests that come back go beyond new ones", func(t *testing.T, l *Levels) {
+			occupy(l, 90)
+			if !l.Decide(Request{Level: 2, Levels: 3, Returned: true}, Decision{Admitted: true}).Admitted {
+				t.Error("a request that came back was refused")
+			}
+		}},
+		{"streams are resumed", func(t *testing.T, l *Levels) {
+			occupy(l, 300)
+			if !l.Decide(Request{Level: 2, Levels: 3, Resumes: true}, Decision{Admitted: true}).Admitted {
+				t.Error("a stream was not resumed")
+			}
+		}},
+		{"a rise of the requests in progress is expected to go on", func(t *testing.T, l *Levels) {
+			occupy(l, 60)
+			l.Update(80, 100, true)
+			if decide(l, 2, 3) {
+				t.Error("the least urgent level is admitted")
+			}
+		}},
+		{"no level starves", func(t *testing.T, l *Levels) {
+			admitted := 0.0
+			for range 200 {
+				occupy(l, 100)
+				decide(l, 0, 3)
+				if decide(l, 2, 3) {
+					admitted++
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			if share, of := admitted/200, 0.25*(200+admitted)/400; share < of {
+				t.Errorf("%.2f of the least urgent level are admitted, less than %.2f", share, of)
+			}
+		}},
+		{"the room falls at once and rises slowly", func(t *testing.T, l *Levels) {
+			for _, step := range []struct {
+				after       time.Duration
+				slots, room float64
+			}{{0, 40, 40}, {0, 100, 100 * firstRoom}, {time.Second, 100, 100}} {
+				time.Sleep(step.after)
+				l.Update(0, step.slots, true)
+				if got := l.State().Room; got != step.room {
+					t.Errorf("the room is %.0f with %.0f slots, not %.0f", got, step.slots, step.room)
+				}
+			}
+		}},
+		{"a configuration changes the levels", func(t *testing.T, l *Levels) {
+			occupy(l, 200)
+			if !decide(l, 0, 1) || l.Active() {
+				t.Error("urgency decides though requests do not differ")
+			}
+			for level := range 5 {
+				decide(l, level, 5)
+			}
+			if decide(l, 4, 5) {
+				t.Error("urgency does not decide with other levels")
+			}
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { test.check(t, fullLevels()) })
+		})
+	}
+}
+
+func BenchmarkLevels(b *testing.B) {
+	l := &Levels{}
+	l.Update(97, 100, true)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		decide(l, i%6, 6)
+	}
+}
--- a/internal/request/admission/limiter.go
+++ b/internal/request/admission/limiter.go
@@ -28,6 +28,9 @@
 	// Resumes is true if the caller has a part of the response already. Such a request
 	// is always admitted.
 	Resumes bool
+	// Level is the request's urgency among those to its group, 0 for the most urgent, and
+	// Levels the number of these; 0 or 1 if they do not differ. Level is below Levels.
+	Level, Levels int
 }
 
 // Decision is whether a request is admitted, with what decided it.
@@ -40,6 +43,11 @@
 	// Limit how many there may be.
 	InFlight int
 	Limit    float64
+	// LessUrgent is true if a request was refused to keep room for more urgent ones. Room
+	// is the number of requests in progress at all entries up to which it is admitted, and
+	// InProgress that number; 0 if urgency did not decide.
+	LessUrgent       bool
+	Room, InProgress float64
 	// PlanAge is the age of the plan; 0 without one.
 	PlanAge time.Duration
 	// RetryAfter is when the caller of a refused request should come back.
--- a/internal/request/admission/load.go
+++ b/internal/request/admission/load.go
@@ -10,6 +10,8 @@
 // the capacity of a group while its requests are late and its endpoints are busy,
 // and divides the capacity between client accounts, max-min fair. The resulting Plan
 // goes back to the entries, whose Limiters apply it to each request.
+//
+// If the requests to a group differ in urgency, Levels at each entry decide as well.
 package admission
 
 import (
--- a/internal/request/admission/planner.go
+++ b/internal/request/admission/planner.go
@@ -64,7 +64,10 @@
 	// limited; 0 if it limited none.
 	limitedWeight float64
 	usual         usualDemands
-	updatedAt     time.Time
+	// leveled is true if the group's requests differ in urgency. Then the plans limit only
+	// accounts that flood.
+	leveled   bool
+	updatedAt time.Time
 }
 
 // Update returns the plan for the present loads of all entries.
@@ -148,7 +151,7 @@
 		return Plan{}
 	}
 	plan := Plan{Limits: p.limitFloods(total), RetryAfter: min(max(minReturn, time.Duration(demand/capacity*float64(minReturn))), maxReturn)}
-	if plan.Limits == nil {
+	if plan.Limits == nil && !p.leveled {
 		plan.Limits = p.limitAll(total)
 	}
 	weights := 0.0
--- a/internal/request/balancer/member.go
+++ b/internal/request/balancer/member.go
@@ -108,13 +108,18 @@
 	m.othersAt.Store(time.Now().UnixNano())
 }
 
-// othersLoad estimates the requests of other entries as a share of the limit; 0 if they
-// are not known.
-func (m *Member) othersLoad() float64 {
+// OthersRequests returns the requests of other entries at the endpoint; 0 if they are not
+// known.
+func (m *Member) OthersRequests() int {
 	if time.Since(time.Unix(0, m.othersAt.Load())) > othersLifetime {
 		return 0
 	}
-	return float64(m.others.Load()) / float64(max(1, m.limit.Load()))
+	return int(m.others.Load())
+}
+
+// othersLoad estimates the requests of other entries as a share of the limit.
+func (m *Member) othersLoad() float64 {
+	return float64(m.OthersRequests()) / float64(max(1, m.limit.Load()))
 }
 
 // MarkUp records that the endpoint can be reached.
