Tell in a preview what urgency would decide

The command that says where a request would go asked the limits of accounts only, and its bundle had no client account but the one in question, so its levels were not those of real requests. Levels tell what they would decide without counting, the preview keeps the other accounts, and shows room and requests in progress. A test compares each preview with the decision after it.

--- a/internal/connection/caller/preview.go
+++ b/internal/connection/caller/preview.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/url"
+	"slices"
 	"time"
 
 	"github.com/cicadareel/cicadareel/internal/events"
@@ -95,11 +96,13 @@
 		return b, "", nil
 	}
 	const token = "preview"
-	for _, a := range b.ClientAccounts {
+	for i, a := range b.ClientAccounts {
 		if a.Name == account {
 			a.TokenHashes = []string{bundle.HashToken(token)}
 			with := *b
-			with.ClientAccounts = []bundle.ClientAccount{a}
+			// The other accounts decide how urgent this one's requests are.
+			with.ClientAccounts = slices.Clone(b.ClientAccounts)
+			with.ClientAccounts[i] = a
 			return bundle.NewBundle(with), token, nil
 		}
 	}
--- a/internal/connection/caller/previewformat.go
+++ b/internal/connection/caller/previewformat.go
@@ -52,6 +52,12 @@
 	GroupInFlight float64 `json:"groupInFlight"`
 	GroupTarget   float64 `json:"groupTarget"`
 	Entries       int     `json:"entries"`
+	// LessUrgent is true if urgency refuses the request. Room is the number of requests in
+	// progress at all entries up to which it is admitted, and InProgress that number; 0 if
+	// urgency does not decide.
+	LessUrgent bool    `json:"lessUrgent,omitempty"`
+	Room       float64 `json:"room,omitempty"`
+	InProgress float64 `json:"inProgress,omitempty"`
 }
 
 func admissionOf(d admission.Decision, p admission.Plan, age time.Duration) *AdmissionPreview {
@@ -59,6 +65,7 @@
 		Admitted: d.Admitted, OverShare: d.OverShare, InFlight: d.InFlight, Limit: d.Limit, PlanAgeMs: age.Milliseconds(),
 		LimitedAccounts: slices.Sorted(maps.Keys(p.Limits)),
 		GroupInFlight:   p.Basis.InFlight, GroupTarget: p.Basis.Target, Entries: p.Basis.Entries,
+		LessUrgent: d.LessUrgent, Room: d.Room, InProgress: d.InProgress,
 	}
 }
 
--- a/internal/request/admission/controller.go
+++ b/internal/request/admission/controller.go
@@ -116,7 +116,11 @@
 func (c *Controller) Preview(groupName string, r Request) (Decision, Plan, time.Duration) {
 	g := c.group(groupName)
 	plan, age := g.limiter.Plan()
-	return g.limiter.Preview(r), plan, age
+	d := g.limiter.Preview(r)
+	if d.Admitted {
+		d = g.levels.Preview(r, d)
+	}
+	return d, plan, age
 }
 
 // Ticket stands for an admitted request in progress. The zero value stands for none.
--- a/internal/request/admission/levels.go
+++ b/internal/request/admission/levels.go
@@ -129,15 +129,37 @@
 	}
 	l.decay(time.Now())
 	l.asked[r.Level]++
+	if d = l.decide(r, d); d.Admitted {
+		l.admitted[r.Level]++
+	} else {
+		l.turnedAway++
+	}
+	return d
+}
+
+// Preview returns what Decide would decide on a request, which is not counted.
+func (l *Levels) Preview(r Request, d Decision) Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.Levels <= 1 || len(l.asked) != r.Levels {
+		return d
+	}
+	l.decay(time.Now())
+	before := l.asked[r.Level]
+	l.asked[r.Level]++
+	d = l.decide(r, d)
+	l.asked[r.Level] = before
+	return d
+}
+
+// decide decides on a request that is among those asked for. The caller must hold mu.
+func (l *Levels) decide(r Request, d Decision) Decision {
 	d.Room, d.InProgress = l.room*l.share(r), l.inProgress
 	// Without slots, the choice of an endpoint refuses requests.
 	d.Admitted = !l.known || l.slots == 0 || r.Resumes || d.InProgress < d.Room || l.starves(r.Level)
 	if !d.Admitted {
 		d.LessUrgent, d.RetryAfter = true, turnAfter
-		l.turnedAway++
-		return d
 	}
-	l.admitted[r.Level]++
 	return d
 }
 
--- a/internal/request/admission/levels_test.go
+++ b/internal/request/admission/levels_test.go
@@ -48,6 +48,19 @@
 				t.Error("a request that came back was refused")
 			}
 		}},
+		{"a preview tells the decision and counts nothing", func(t *testing.T, l *Levels) {
+			for inProgress := 80.0; inProgress < 140; inProgress += 3 {
+				occupy(l, inProgress)
+				for level := range 3 {
+					r := Request{Level: level, Levels: 3}
+					l.Preview(r, Decision{Admitted: true})
+					preview := l.Preview(r, Decision{Admitted: true})
+					if got := l.Decide(r, Decision{Admitted: true}); got != preview {
+						t.Errorf("level %d: decision %+v, announced as %+v", level, got, preview)
+					}
+				}
+			}
+		}},
 		{"streams are resumed", func(t *testing.T, l *Levels) {
 			occupy(l, 300)
 			if !l.Decide(Request{Level: 2, Levels: 3, Resumes: true}, Decision{Admitted: true}).Admitted {
