--- a/internal/request/admission/levels.go
+++ b/internal/request/admission/levels.go
@@ -89,7 +89,11 @@
 	now := time.Now()
 	rise := roomPerSecond * slots * now.Sub(l.updatedAt).Seconds()
 	l.room = min(slots, max(firstRoom*slots, l.room+rise))
-	l.inProgress = max(0, inProgress+lead*(inProgress-l.counted))
+	l.inProgress = inProgress
+	// Endpoints that left or returned, or counts that were not known, are no trend.
+	if known && l.known && slots == l.slots {
+		l.inProgress = max(0, inProgress+lead*(inProgress-l.counted))
+	}
 	l.counted, l.slots, l.known, l.updatedAt = inProgress, slots, known, now
 }
 
@@ -185,6 +189,9 @@
 		above += amount
 	}
 	below := all - above - l.asked[r.Level]
+	if r.Level == 0 {
+		below = all
+	}
 	share := 1 + urgentExcess*min(1, below/all/fullBelow) - reserve*min(1, above/all/fullAbove)
 	if r.Returned {
 		share += returnedExcess
--- a/internal/request/admission/levels_test.go
+++ b/internal/request/admission/levels_test.go
@@ -74,6 +74,26 @@
 				t.Error("the least urgent level is admitted")
 			}
 		}},
+		{"the loss of endpoints is no fall of what is asked for", func(t *testing.T, l *Levels) {
+			l.Update(66, 67, true)
+			if got := l.State().InProgress; got != 66 {
+				t.Errorf("%.0f requests are expected, not 66", got)
+			}
+		}},
+		{"counts that were not known are no rise", func(t *testing.T, l *Levels) {
+			l.Update(5, 100, false)
+			l.Update(60, 100, true)
+			if got := l.State().InProgress; got != 60 {
+				t.Errorf("%.0f requests are expected, not 60", got)
+			}
+		}},
+		{"the most urgent level may exceed the room when nothing else is asked for", func(t *testing.T, _ *Levels) {
+			l := &Levels{}
+			occupy(l, 100)
+			if !decide(l, 0, 3) {
+				t.Error("it is turned away")
+			}
+		}},
 		{"no level starves", func(t *testing.T, l *Levels) {
 			admitted := 0.0
 			for range 200 {
