Let entries that start adopt usual demands where urgency decides

An entry that starts makes plans at once where urgency decides. It then skipped the plans of entries that know the usual demands, and its own plans without limits replaced theirs at its peers. On the wire, plans without usual demands looked like ones with none, which would have made a flood of any account look like a new account's. Plans without usual demands now give only the requests at endpoints, and only while no plan with them is in force. The test fails before with 3 levels.

--- a/internal/request/admission/controller.go
+++ b/internal/request/admission/controller.go
@@ -70,6 +70,13 @@
 	reported, previous Load
 }
 
+// hasUsual reports whether the plan in force was made with usual demands. One without them
+// has no limits and does not replace it.
+func (g *group) hasUsual() bool {
+	plan, _ := g.limiter.Plan()
+	return len(plan.State.Usual) > 0
+}
+
 // report is what another entry reported.
 type report struct {
 	loads      map[string]Load
@@ -184,11 +191,13 @@
 	defer c.mu.Unlock()
 	for _, p := range plans {
 		g := c.groups[p.Group]
-		if g == nil || c.makesPlan(p.Group) || (p.Plan.State.Usual == nil && !g.levels.Active()) {
+		if g == nil || (c.makesPlan(p.Group) && g.planner.knowsUsual()) {
 			continue
 		}
-		if p.Plan.State.Usual != nil {
+		if len(p.Plan.State.Usual) > 0 {
 			g.planner.adopt(p.Plan.State)
+		} else if !g.levels.Active() || g.hasUsual() {
+			continue
 		}
 		c.apply(p, g, g.previous)
 	}
@@ -220,7 +229,7 @@
 			continue
 		}
 		p := GroupPlan{Group: name, Plan: g.planner.Update(c.loadsOf(name, g))}
-		if !g.planner.knowsUsual() && !g.planner.leveled {
+		if !g.planner.knowsUsual() && (!g.planner.leveled || g.hasUsual()) {
 			continue
 		}
 		c.apply(p, g, g.reported)
--- a/internal/request/admission/levels_test.go
+++ b/internal/request/admission/levels_test.go
@@ -149,6 +149,42 @@
 	}
 }
 
+// TestFreshEntryAdoptsUsualDemands checks that an entry which starts takes over the usual
+// demands that another knows, also where urgency decides and it makes plans at once.
+func TestFreshEntryAdoptsUsualDemands(t *testing.T) {
+	for _, levels := range []int{1, 3} {
+		t.Run(strconv.Itoa(levels)+" levels", func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				old, _ := newTestController(2)
+				fresh, _ := newTestController(2)
+				admit := func(c *Controller) {
+					_, ticket := c.Admit("g", Request{Account: "a", Cost: 1, Levels: levels})
+					ticket.End()
+				}
+				for range 30 {
+					admit(old)
+					time.Sleep(250 * time.Millisecond)
+					old.RecordLoads("b", nil)
+					old.Update()
+				}
+				for range 4 {
+					admit(old)
+					admit(fresh)
+					time.Sleep(250 * time.Millisecond)
+					old.RecordLoads("fresh", fresh.Loads())
+					fresh.RecordLoads("old", old.Loads())
+					old.Update()
+					fresh.Update()
+					fresh.ApplyPlans(old.Plans())
+				}
+				if !fresh.groups["g"].planner.knowsUsual() {
+					t.Error("the usual demands are not known")
+				}
+			})
+		})
+	}
+}
+
 // BenchmarkPlan makes the plan of 410 entries, each of which knows a hundred of a thousand
 // accounts.
 func BenchmarkPlan(b *testing.B) {
