--- a/internal/request/admission/controller.go
+++ b/internal/request/admission/controller.go
@@ -194,10 +194,15 @@
 		if g == nil || (c.makesPlan(p.Group) && g.planner.knowsUsual()) {
 			continue
 		}
-		if len(p.Plan.State.Usual) > 0 {
-			g.planner.adopt(p.Plan.State)
-		} else if !g.levels.Active() || g.hasUsual() {
+		switch usual := p.Plan.State.Usual; {
+		case len(usual) == 0 && g.levels.Active():
+			if g.hasUsual() {
+				continue
+			}
+		case usual == nil:
 			continue
+		default:
+			g.planner.adopt(p.Plan.State)
 		}
 		c.apply(p, g, g.previous)
 	}
