--- a/cmd/standin/deployment.go
+++ b/cmd/standin/deployment.go
@@ -68,10 +68,11 @@
 			&cli.StringFlag{Name: "name", Required: true},
 			&cli.DurationFlag{Name: "work", Value: 20 * time.Millisecond},
 			&cli.IntFlag{Name: "events", Usage: "events of a stream; 0 for plain responses"},
+			&cli.IntFlag{Name: "response-bytes", Usage: "least length of a plain response"},
 			recordFlag(),
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			worker := &standin.Worker{Name: c.String("name"), StepTime: c.Duration("work"), Events: c.Int("events")}
+			worker := &standin.Worker{Name: c.String("name"), StepTime: c.Duration("work"), Events: c.Int("events"), MinResponseBytes: c.Int("response-bytes")}
 			if err := recordRuns(worker, c.String("record")); err != nil {
 				return err
 			}
--- a/internal/standin/child.go
+++ b/internal/standin/child.go
@@ -34,6 +34,9 @@
 	return c, nil
 }
 
+// Pid returns the id of the process.
+func (c *Child) Pid() int { return c.command.Process.Pid }
+
 // Signal sends a signal to the process.
 func (c *Child) Signal(s syscall.Signal) error { return c.command.Process.Signal(s) }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -68,6 +69,8 @@
 	StepTime time.Duration
 	// Events is the number of events of a stream; 0 for plain responses.
 	Events int
+	// MinResponseBytes is the least length of a plain response, which spaces fill up to it.
+	MinResponseBytes int
 	// Unframed makes streams have neither a length nor chunks: they end with their
 	// connections.
 	Unframed bool
@@ -247,6 +250,9 @@
 		return
 	}
 	response := PlainResponse(run.ID)
+	if rest := k.MinResponseBytes - len(response); rest > 0 {
+		response += strings.Repeat(" ", rest)
+	}
 	w.Header().Set("X-Upstream-Signature", k.Name+"."+run.ID)
 	w.Header().Set("Content-Length", strconv.Itoa(len(response)))
 	switch f {
