Let a crowd fill memory in the soak

A client of the soak opens connections all the time whose bodies stop short of their end, or whose responses nobody reads, and keeps 24 open. The entries have the memory limit of the smallest machine.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"slices"
@@ -107,6 +108,7 @@
 	for _, r := range responses {
 		failures = append(failures, r.violations(runs[r.id])...)
 	}
+	failures = append(failures, crowdRuns(slices.Collect(maps.Keys(runs)))...)
 	failures = append(failures, configRollbacks(slices.Clone(responses))...)
 	var mapViolations []string
 	_ = json.Unmarshal(d.send(http.MethodGet, "http://"+d.nodes[0].address+"/violations", nil), &mapViolations)
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -171,6 +171,7 @@
 fencedCommands = true
 graceMs = %d
 stallMs = 1500
+memoryBytes = 136000000
 [tls]
 insecure = true
 `, e.name, string("ab"[i%2]), e.caller, e.peer, e.ops, d.entries[0].peer, d.entries[i/2].peer, e.store.Address(), shutdownGrace.Milliseconds())
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -85,7 +86,10 @@
 	sendersDone := make(chan struct{})
 	go func() {
 		defer close(sendersDone)
+		var crowd sync.WaitGroup
+		crowd.Go(func() { d.crowdUntil(stop) })
 		c.sendUntil(stop)
+		crowd.Wait()
 	}()
 	began := time.Now()
 	injector := &faultInjector{deployment: d, random: rand.New(rand.NewPCG(seed, 1)), log: func(format string, args ...any) {
