Charge long headers to what an entry holds

A header is held twice, as it came and as it is forwarded, and was covered by the fixed cost of a request whatever its length. What is beyond 8 KiB is now charged twice. Spec "are charged for long headers" fails without it (falsify line, red).

--- a/internal/connection/caller/body.go
+++ b/internal/connection/caller/body.go
@@ -15,9 +15,12 @@
 )
 
 const (
-	// requestBytes is what a request holds apart from larger bodies and responses: its
-	// header, the buffers of two connections, goroutines, and firstBytes of its body.
+	// requestBytes is what a request holds apart from larger bodies and responses: a
+	// header of headerBytes, the buffers of two connections, goroutines, and firstBytes of
+	// its body. A longer header is held twice: as it came and as it is forwarded.
 	requestBytes = 32 << 10
+	headerBytes  = 8 << 10
+	headerCopies = 2
 	// firstBytes is the size of a body's first buffer, and buffers up to smallBodyBuffer
 	// grow in small steps: a client that has sent nothing holds little.
 	firstBytes      = 4 << 10
@@ -47,7 +50,7 @@
 }
 
 // hold begins to account for what the request holds. The caller ends the holder.
-func (s *Service) hold(ctx context.Context, q *request, control *http.ResponseController) error {
+func (s *Service) hold(ctx context.Context, q *request, header http.Header, control *http.ResponseController) error {
 	q.held = s.Memory.Begin(q.account.Name, func(c memory.Cut) {
 		s.log(q, events.ClientCutOff, events.Fields{"held": c.Held, "stalledMs": c.Stalled.Milliseconds()})
 		past := time.Unix(1, 0)
@@ -55,7 +58,19 @@
 		_ = control.SetWriteDeadline(past)
 	})
 	_ = control.SetWriteDeadline(q.deadline.Add(writeGrace))
-	return q.held.Take(ctx, memory.Requests, requestBytes, q.roomWait())
+	surplus := max(0, headerLength(header)-headerBytes)
+	return q.held.Take(ctx, memory.Requests, requestBytes+headerCopies*int64(surplus), q.roomWait())
+}
+
+// headerLength returns the number of bytes of the names and values of the fields.
+func headerLength(h http.Header) int {
+	n := 0
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return n
 }
 
 // roomWait returns how long the request may wait for room.
--- a/internal/connection/caller/request.go
+++ b/internal/connection/caller/request.go
@@ -91,7 +91,7 @@
 		q.priorWait = max(0, q.route.Timeout-metadata.Timeout)
 	}
 	control := http.NewResponseController(w)
-	if err = s.hold(r.Context(), q, control); err != nil {
+	if err = s.hold(r.Context(), q, r.Header, control); err != nil {
 		return q, err
 	}
 	if err = q.readBody(w, r, control); err != nil {
--- a/internal/process/entry/crowd_test.go
+++ b/internal/process/entry/crowd_test.go
@@ -158,6 +158,16 @@
 		})
 	})
 
+	It("are charged for long headers", func() {
+		withCrowd(func(w *standin.Worker) { w.StepTime = time.Second }, func() {
+			go e.call("/slow/x", "r1", func(r *http.Request) { r.Header.Set("X-Prompt-Prefix", strings.Repeat("p", 40<<10)) })
+			time.Sleep(100 * time.Millisecond)
+			Expect(held()).To(BeNumerically(">=", 80<<10))
+			time.Sleep(2 * time.Second)
+			Expect(held()).To(BeZero())
+		})
+	})
+
 	It("get an immediate refusal of a body over the limit, which the entry does not read", func() {
 		withCrowd(nil, func() {
 			r := e.call("/slow/x", "r1", func(r *http.Request) {
--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -212,6 +212,7 @@
 without "bodies end at the deadline" internal/connection/caller/body.go 's/_ = control.SetReadDeadline\(q.deadline\)//' ./$entry "clients that send large"
 without "unread bodies of refused requests are not drained" internal/connection/caller/body.go 's/^\tcloseUnread\(w, r, control\)/\t_ = control/' ./$entry "clients that send large"
 without "responses are buffered only as far as there is room" internal/connection/endpoint/direct.go 's/n > 0 \&\& !x.attempt.Room.TryTake\(n\)/false/' ./internal/connection/endpoint ""
+without "long headers are charged" internal/connection/caller/body.go 's/headerCopies = 2/headerCopies = 0/' ./$entry "clients that send large"
 without "sockets have bounded buffers (real processes)" internal/process/settings/settings.go 's/return socketBytes/return 0/' ./internal/system "bears responses that nobody reads"
 without "connections of callers are bounded (real processes)" $entry/entry.go 's/^\t\tConnState: .*//; s/connections := (.*)/_ = \1/' ./internal/system "bears more connections"
 wait
