--- a/internal/system/memory_test.go
+++ b/internal/system/memory_test.go
@@ -58,8 +58,8 @@
 	g.c.run("standin", "worker", "--name", "desk-0", "--address", g.desk)
 	g.c.run("standin", "worker", "--name", "files-0", "--address", g.files, "--work", "1500ms", "--response-bytes", strconv.Itoa(bodyLimit))
 	rows := map[string]string{
-		"servers/desk-0":  fmt.Sprintf(`{"service":"desk","address":%q,"zone":"a","slots":12,"state":"ready","born":1}`, g.desk),
-		"servers/files-0": fmt.Sprintf(`{"service":"files","address":%q,"zone":"a","slots":120,"state":"ready","born":1}`, g.files),
+		"servers/desk-0":  fmt.Sprintf(`{"service":"desk","address":%q,"zone":"a","slots":12,"state":"ready","version":"v1","cold_remaining_ms":0,"sequence":1,"born":1}`, g.desk),
+		"servers/files-0": fmt.Sprintf(`{"service":"files","address":%q,"zone":"a","slots":120,"state":"ready","version":"v1","cold_remaining_ms":0,"sequence":1,"born":1}`, g.files),
 		"op/config": fmt.Sprintf(`{"version":1,"routes":[
 			{"name":"look","host":%[1]q,"path_prefix":"/look/","route_type":"safe","service":"desk","timeout_ms":4000,"target_latency_ms":400,"priority":1,"max_attempts":2},
 			{"name":"files","host":%[1]q,"path_prefix":"/files/","route_type":"unsafe","service":"files","timeout_ms":60000,"target_latency_ms":4000,"priority":1,"max_attempts":1}],
