--- a/internal/connection/caller/preview.go
+++ b/internal/connection/caller/preview.go
@@ -12,6 +12,7 @@
 	"github.com/cicadareel/cicadareel/internal/outcome"
 	"github.com/cicadareel/cicadareel/internal/request/admission"
 	"github.com/cicadareel/cicadareel/internal/request/balancer"
+	"github.com/cicadareel/cicadareel/internal/request/memory"
 	"github.com/cicadareel/cicadareel/pkg/bundle"
 )
 
@@ -113,7 +114,9 @@
 	dialect := &previewDialect{Dialect: s.Dialect, token: token, header: http.Header{}}
 	decider := &previewDecider{PreviewAdmission: p.admission}
 	s.Dialect, s.Admission = dialect, decider
-	q, err := readRequest(dialect, r, b, dialect, time.Now())
+	// A budget of its own: a question holds nothing of what callers may, and cuts off nobody.
+	s.Memory = memory.NewBudget(0)
+	q, err := s.readRequest(dialect, r, b, time.Now())
 	out.describe(q)
 	if invalid := (*InvalidRequestError)(nil); errors.As(err, &invalid) {
 		s.refuse(dialect, Refusal{Outcome: outcome.NotRun{Reason: invalid.Reason}, Detail: invalid.Detail, RequestID: q.id})
