Cut off only clients whose room helps

Cause: whoever asked for room had the client cut off that held most for longest, also one of another account while its own account was at its limit, or a small request while larger ones filled their share. Change: larger requests cut off only larger ones, at the account's limit only that account's. Beside it: nothing is taken after the end of a holder; parts that are written are 8 KiB, so that a reader of 12 KiB a second has not stalled; the callback sets the write deadline first, so that it does not undo that of the refusal. New specs: TestOnlyClientsWhoseRoomHelpsAreCutOff, TestNothingIsTakenAfterTheEnd.

--- a/internal/connection/caller/body.go
+++ b/internal/connection/caller/body.go
@@ -54,8 +54,9 @@
 	q.held = s.Memory.Begin(q.account.Name, func(c memory.Cut) {
 		s.log(q, events.ClientCutOff, events.Fields{"held": c.Held, "stalledMs": c.Stalled.Milliseconds()})
 		past := time.Unix(1, 0)
-		_ = control.SetReadDeadline(past)
+		// The write deadline first: the refusal that follows the failed read sets its own.
 		_ = control.SetWriteDeadline(past)
+		_ = control.SetReadDeadline(past)
 	})
 	_ = control.SetWriteDeadline(q.deadline.Add(writeGrace))
 	surplus := max(0, headerLength(header)-headerBytes)
--- a/internal/connection/caller/delivery.go
+++ b/internal/connection/caller/delivery.go
@@ -21,7 +21,7 @@
 	// without intermediate flushes.
 	smallBodyBytes = 4 << 10
 	// writeBytes is the length of the parts in which long payloads are written.
-	writeBytes = 32 << 10
+	writeBytes = 8 << 10
 )
 
 // deliveryResult is how the delivery of one exchange ended: completed,
--- a/internal/request/memory/budget.go
+++ b/internal/request/memory/budget.go
@@ -144,7 +144,7 @@
 // and reports whether there was one.
 func (b *Budget) CutOffStalled() bool {
 	b.mu.Lock()
-	victim, cut := b.pickStalled(time.Now())
+	victim, cut := b.pickStalled(time.Now(), func(*Holder) bool { return true })
 	b.mu.Unlock()
 	if victim == nil {
 		return false
@@ -178,7 +178,7 @@
 		var victim *Holder
 		var cut Cut
 		if b.ending < n {
-			victim, cut = b.pickStalled(now)
+			victim, cut = b.pickStalled(now, func(other *Holder) bool { return h.gainsRoom(other, n, cause) })
 		}
 		if !waiting {
 			if b.waiters >= maxWaiters && victim == nil {
@@ -263,14 +263,27 @@
 	}
 }
 
-// pickStalled returns the holder to be cut off: of those whose clients have stalled, the
-// one with the largest product of held bytes and time; nil if there is none.
-func (b *Budget) pickStalled(now time.Time) (*Holder, Cut) {
+// gainsRoom reports whether room that the other gives back helps the holder to take n
+// bytes, for which there is no room by the cause: a larger request needs that of a larger
+// one, and one of an account at its limit that of the same account.
+func (h *Holder) gainsRoom(other *Holder, n int64, cause Cause) bool {
+	if h == other {
+		return false
+	}
+	if h.total()+n <= smallBytes {
+		return true
+	}
+	return other.isLarge() && (cause != AccountFull || other.account == h.account)
+}
+
+// pickStalled returns the holder to be cut off: of the eligible ones whose clients have
+// stalled, the one with the largest product of held bytes and time; nil if there is none.
+func (b *Budget) pickStalled(now time.Time, eligible func(*Holder) bool) (*Holder, Cut) {
 	var victim *Holder
 	var most float64
 	for h := range b.holders {
 		stalled := h.stalledFor(now)
-		if h.cut || stalled < stallTime {
+		if h.cut || stalled < stallTime || !eligible(h) {
 			continue
 		}
 		if weight := float64(h.total()) * stalled.Seconds(); victim == nil || weight > most {
--- a/internal/request/memory/budget_test.go
+++ b/internal/request/memory/budget_test.go
@@ -303,6 +303,45 @@
 	})
 }
 
+func TestOnlyClientsWhoseRoomHelpsAreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := memory.NewBudget(16 * mebibyte)
+		calm, flood := begin(b, "calm"), begin(b, "flood")
+		expectTaken(t, calm.Take(t.Context(), memory.Bodies, mebibyte, 0))
+		expectTaken(t, flood.Take(t.Context(), memory.Bodies, 8*mebibyte, 0))
+		calm.BeginWait()
+		time.Sleep(3 * time.Second)
+		expectNoRoom(t, begin(b, "flood").Take(t.Context(), memory.Bodies, 2*mebibyte, patience), memory.AccountFull)
+		if calm.cuts() != 0 {
+			t.Error("a client of another account was cut off")
+		}
+	})
+	synctest.Test(t, func(t *testing.T) {
+		b := memory.NewBudget(16 * mebibyte)
+		small := begin(b, "small")
+		expectTaken(t, small.Take(t.Context(), memory.Bodies, fixed, 0))
+		small.BeginWait()
+		for _, account := range []string{"a", "b"} {
+			expectTaken(t, begin(b, account).Take(t.Context(), memory.Bodies, 6*mebibyte, 0))
+		}
+		time.Sleep(3 * time.Second)
+		expectNoRoom(t, begin(b, "c").Take(t.Context(), memory.Bodies, 4*mebibyte, patience), memory.Full)
+		if small.cuts() != 0 {
+			t.Error("a small request was cut off for a large one")
+		}
+	})
+}
+
+func TestNothingIsTakenAfterTheEnd(t *testing.T) {
+	b := memory.NewBudget(capacity)
+	c := begin(b, "a")
+	c.End()
+	if c.TryTake(memory.Responses, 1000) {
+		t.Error("bytes were taken after the end")
+	}
+	expectHeld(t, b, 0)
+}
+
 func TestACapacityThatRisesLetsRequestsIn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := memory.NewBudget(capacity)
--- a/internal/request/memory/holder.go
+++ b/internal/request/memory/holder.go
@@ -25,13 +25,6 @@
 	moved int64
 }
 
-// SetAccount names the client account, before anything is taken.
-func (h *Holder) SetAccount(account string) {
-	h.budget.mu.Lock()
-	defer h.budget.mu.Unlock()
-	h.account = account
-}
-
 // Take takes bytes before they are held. It waits for room for up to patience. The error
 // is a *NoRoomError, or that of ctx.
 func (h *Holder) Take(ctx context.Context, k Kind, n int64, patience time.Duration) error {
@@ -43,7 +36,7 @@
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
 	_, ok := h.budget.roomFor(h, n)
-	if ok {
+	if ok = ok && !h.ended; ok {
 		h.budget.charge(h, k, n)
 	}
 	return ok
