Leave headers to the configuration and late responses to the reader

A header limit of 64 KiB could be met by a client inside a configuration with a larger max_header_bytes: net/http's 1 MiB applies again, and what a request's header holds is charged. The write deadline of a second after the request's deadline cut off late responses also in calm: it is renewed with each part that the caller reads.

--- a/internal/connection/caller/delivery.go
+++ b/internal/connection/caller/delivery.go
@@ -90,6 +90,8 @@
 	onBegun func()
 	// onLate is called when the response misses an objective.
 	onLate func()
+	// deadline is when the caller stops waiting.
+	deadline time.Time
 	// held is what the request holds of the process's budget of bytes.
 	held *memory.Holder
 	// splicer joins the event streams of several attempts; nil for responses
@@ -99,7 +101,7 @@
 
 // newDelivery returns a delivery that has written nothing.
 func newDelivery(w http.ResponseWriter, q *request) *delivery {
-	d := &delivery{w: w, control: http.NewResponseController(w), pace: newPace(q), onBegun: func() {}, onLate: func() {}, held: q.held}
+	d := &delivery{w: w, control: http.NewResponseController(w), pace: newPace(q), onBegun: func() {}, onLate: func() {}, held: q.held, deadline: q.deadline}
 	if q.route.Stream {
 		d.splicer = eventstream.NewSplicer(q.resumeAfter)
 	}
@@ -202,6 +204,10 @@
 func (d *delivery) write(payload []byte) bool {
 	d.held.BeginWait()
 	for part := range slices.Chunk(payload, writeBytes) {
+		// A response that is late is delivered as long as the caller reads.
+		if now := time.Now(); now.After(d.deadline) {
+			_ = d.control.SetWriteDeadline(now.Add(writeGrace))
+		}
 		if _, err := d.w.Write(part); err != nil {
 			return false
 		}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -24,8 +24,6 @@
 	// idle times announced to callers, so that no request arrives at a connection
 	// that the entry is closing.
 	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes bounds the header of a request.
-	maxHeaderBytes = 64 << 10
 )
 
 // cutOffInterval is the time between two searches for stalled callers at shutdown.
@@ -107,7 +105,6 @@
 		Handler:           e.closeConnections(caller.NewService(e.environment.dependencies)),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         connections.track,
 	}
 	go func() {
--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -205,6 +205,8 @@
 without "bytes are given back once" $memory/holder.go 's/if h.ended \|\| n == 0 \{/if n == 0 {/' ./$memory ""
 without "clients that trickle have stalled" $memory/holder.go 's/h.moved \+= int64\(n\); h.moved >= leastMoved \&\& /h.moved += int64(n); /' ./$memory ""
 without "who holds most and moves least is cut off" $memory/budget.go 's/weight > most/weight < most/' ./$memory ""
+without "only clients whose room helps are cut off" $memory/budget.go 's/ \|\| !eligible\(h\)/ || eligible == nil/' ./$memory ""
+without "nothing is taken after the end" $memory/holder.go 's/ok = ok \&\& !h.ended; ok/ok/' ./$memory ""
 without "a client is cut off once" $memory/budget.go 's/if h.cut \|\| stalled/if stalled/' ./$memory ""
 without "the connection idle for longest is closed" $memory/connections.go 's/c.waiting.Front\(\)/c.waiting.Back()/' ./$memory ""
 without "stalled clients are cut off for new connections" $memory/connections.go 's/room \&\& c.cutOffStalled\(\)/room \&\& false/' ./$memory ""
