--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -62,6 +62,8 @@
 	PromptPartTried           Event = 410
 	PromptPartCleared         Event = 411
 	UrgencyDecides            Event = 412
+	ClientCutOff              Event = 413
+	ConnectionClosed          Event = 414
 	GroupBroken               Event = 503
 	GroupOpen                 Event = 504
 	GroupRelieved             Event = 505
@@ -124,6 +126,8 @@
 	PromptPartTried:           "request with suspected prompt part sent as a trial",
 	PromptPartCleared:         "prompt part no longer suspected",
 	UrgencyDecides:            "urgency decides what is admitted",
+	ClientCutOff:              "stalled client cut off",
+	ConnectionClosed:          "connection of a caller closed for others",
 	EventsOutOfOrder:          "endpoint sent events out of order",
 	GroupBroken:               "group of ranks broken",
 	GroupOpen:                 "group of ranks open",
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -93,6 +93,12 @@
 	LessUrgent Reason = "lessUrgent"
 	// PromptQuarantined: a part of the prompt is suspected of crashing endpoints.
 	PromptQuarantined Reason = "promptQuarantined"
+	// MemoryFull: the entry has no room for the request's bytes.
+	MemoryFull Reason = "memoryFull"
+	// AccountMemoryFull: the client account holds as many bytes as it may.
+	AccountMemoryFull Reason = "accountMemoryFull"
+	// ClientStalled: the caller did not send its body in time.
+	ClientStalled Reason = "clientStalled"
 	// EventsOutOfOrder: an event's id does not follow the one before.
 	EventsOutOfOrder Reason = "eventsOutOfOrder"
 )
@@ -106,5 +112,6 @@
 		RetryBudgetSpent, EndpointUnreachable, EndpointBroke, ConnectionLost,
 		SealUnanswered, Canceled, ShuttingDown, Shed, EndpointFailed,
 		EventsOutOfOrder, AccountLimited, LessUrgent, PromptQuarantined,
+		MemoryFull, AccountMemoryFull, ClientStalled,
 	}
 }
