Tell peers first of requests that were at two crashes

Cause: a message to peers has the first 128 records and a random part of the others, and records that only stood beside a crash came before the cause of an earlier one if their crash was later. A review of the quarantine found it: after 301 later records the blocked request stood at place 301.

Change: of the suspected records those with more than one crash come first. Three stale sentences are corrected.

Evidence: the new test fails without the order and passes with it.

Conclusion: what is refused everywhere is told first.

--- a/internal/connection/caller/service.go
+++ b/internal/connection/caller/service.go
@@ -90,7 +90,7 @@
 	Dialect Dialect
 	// Admission is nil if the endpoints' gates alone decide what is admitted.
 	Admission Admission
-	// Quarantine is nil if the dialect does not name the parts of prompts.
+	// Quarantine is nil if requests are not checked for crashes of endpoints.
 	Quarantine *quarantine.Tracker
 	Budgets    *retry.Budgets
 	// Memory is the number of bytes that the process may hold for callers.
--- a/internal/request/quarantine/answered.go
+++ b/internal/request/quarantine/answered.go
@@ -6,7 +6,8 @@
 )
 
 const (
-	// answerLifetime is how long an answer to a part counts at least.
+	// answerLifetime is how long an answer to a part counts at least, unless more parts are
+	// answered than are kept.
 	answerLifetime = 10 * time.Minute
 	// maxAnswered bounds the parts of prompts of one generation, maxAnsweredRequests the
 	// whole requests.
--- a/internal/request/quarantine/record.go
+++ b/internal/request/quarantine/record.go
@@ -133,13 +133,19 @@
 }
 
 // compareImportance orders records by their use to an entry that can keep or send only some:
-// suspected parts first, of these the last crashes, of one crash the likeliest.
+// suspected parts first, of these the ones with more than one crash, then the last crashes,
+// of one crash the likeliest.
 func compareImportance(a, b Record) int {
 	switch {
 	case a.suspected() && !b.suspected():
 		return -1
 	case b.suspected() && !a.suspected():
 		return 1
+	case a.suspected() && a.repeated() != b.repeated():
+		if a.repeated() {
+			return -1
+		}
+		return 1
 	case !a.LastCrash.Equal(b.LastCrash):
 		return b.LastCrash.Compare(a.LastCrash)
 	case a.Likelihood != b.Likelihood:
--- a/internal/request/quarantine/request_test.go
+++ b/internal/request/quarantine/request_test.go
@@ -219,3 +219,17 @@
 		})
 	}
 }
+
+func TestImportance(t *testing.T) {
+	test(t, "of a request at two crashes is above that of many others at later ones", func(g Gomega) {
+		e := newTestEntry("a")
+		e.crash("e1", waited, key("deadly"))
+		time.Sleep(2 * eventTolerance)
+		e.crash("e2", waited, key("deadly"))
+		time.Sleep(time.Second)
+		for i := range 300 {
+			e.crash("e3", waited, key(fmt.Sprint("beside", i)))
+		}
+		g.Expect(e.Records()[0].Part).To(Equal(key("deadly")))
+	})
+}
