Check how urgency turns requests away at an entry

No test noticed when the caller service passed no levels on to the admission, or took a refusal by urgency for one of the account's limit; nor did any notice that amounts asked for never decay, or that urgency refuses requests where no slots are known.

--- a/internal/request/admission/levels_test.go
+++ b/internal/request/admission/levels_test.go
@@ -96,6 +96,24 @@
 				t.Error("it is turned away")
 			}
 		}},
+		{"without slots, no level is refused", func(t *testing.T, l *Levels) {
+			l.Update(5, 0, true)
+			for level := range 3 {
+				if !decide(l, level, 3) {
+					t.Errorf("level %d is refused", level)
+				}
+			}
+		}},
+		{"what was asked for long ago does not count", func(t *testing.T, l *Levels) {
+			for range 100 {
+				decide(l, 0, 3)
+			}
+			time.Sleep(10 * rateWindow)
+			decide(l, 2, 3)
+			if got := sumOf(l.asked); got > 1.1 {
+				t.Errorf("%.2f requests count, not 1", got)
+			}
+		}},
 		{"no level starves", func(t *testing.T, l *Levels) {
 			admitted := 0.0
 			for range 200 {
