Let plans go by the levels that the bundle has

Whether a group's plans go by urgency followed the last request that the entry got, so an entry that had none since a configuration changed planned for the former levels: it made no plan where only urgency needs one, or one without usual demands where limits need them. It is now the number of levels that the bundle in force has for the group.

TestLevelsFollowBundle fails before, and the spec of urgency at an entry fails if the fleet does not pass the levels on; falsify.sh has a line for both.

--- a/internal/process/entry/fleetload.go
+++ b/internal/process/entry/fleetload.go
@@ -15,6 +15,15 @@
 	return slots
 }
 
+// Levels implements admission.Endpoints.
+func (f *directFleet) Levels(group string) int {
+	b := f.bundle.Load()
+	if b == nil {
+		return 1
+	}
+	return b.Levels(group)
+}
+
 // Requests implements admission.Endpoints.
 func (f *directFleet) Requests(group string) map[admission.EndpointKey]int {
 	f.mu.RLock()
--- a/internal/request/admission/admission_test.go
+++ b/internal/request/admission/admission_test.go
@@ -159,14 +159,21 @@
 }
 
 // noEndpoints stands for a group whose endpoints have 100 slots.
-type noEndpoints struct{ others map[EndpointKey]int }
+type noEndpoints struct {
+	levels int
+	others map[EndpointKey]int
+}
 
 func (noEndpoints) Slots(string) int                              { return 100 }
+func (e noEndpoints) Levels(string) int                           { return e.levels }
 func (noEndpoints) InProgress(string) int                         { return 0 }
 func (noEndpoints) Requests(string) map[EndpointKey]int           { return map[EndpointKey]int{1: 2} }
 func (e noEndpoints) ApplyOthers(_ string, n map[EndpointKey]int) { e.others[1] = n[1] }
 func newTestController(entries int) (*Controller, noEndpoints) {
-	e := noEndpoints{others: map[EndpointKey]int{}}
+	return newLeveledController(entries, 1)
+}
+func newLeveledController(entries, levels int) (*Controller, noEndpoints) {
+	e := noEndpoints{levels: levels, others: map[EndpointKey]int{}}
 	return NewController(e, func() int { return entries }), e
 }
 
--- a/internal/request/admission/burst_test.go
+++ b/internal/request/admission/burst_test.go
@@ -51,6 +51,7 @@
 
 // burstEntry stands for the endpoints as one entry sees them.
 type burstEntry struct {
+	levels     int
 	controller *Controller
 	own        []int
 	others     map[EndpointKey]int
@@ -58,6 +59,8 @@
 
 func (*burstEntry) Slots(string) int { return burstRanks * burstSlots }
 
+func (e *burstEntry) Levels(string) int { return e.levels }
+
 func (e *burstEntry) InProgress(string) int {
 	n := 0
 	for _, own := range e.own {
@@ -106,7 +109,7 @@
 			b.ranks = append(b.ranks, &burstRank{})
 		}
 		for range burstEntries {
-			e := &burstEntry{own: make([]int, burstRanks)}
+			e := &burstEntry{levels: b.levels, own: make([]int, burstRanks)}
 			e.controller = NewController(e, func() int { return burstEntries })
 			b.entries = append(b.entries, e)
 		}
--- a/internal/request/admission/controller.go
+++ b/internal/request/admission/controller.go
@@ -32,6 +32,9 @@
 	// Slots returns the number of requests that a group's usable endpoints run at the
 	// same time.
 	Slots(group string) int
+	// Levels returns the number of levels of urgency that the bundle in force gives to the
+	// requests to a group; 1 if they do not differ.
+	Levels(group string) int
 	// InProgress returns the requests at a group's usable endpoints: those of this entry,
 	// and what it knows of those of others.
 	InProgress(group string) int
@@ -195,7 +198,7 @@
 			continue
 		}
 		switch usual := p.Plan.State.Usual; {
-		case len(usual) == 0 && g.levels.Active():
+		case len(usual) == 0 && c.endpoints.Levels(p.Group) > 1:
 			if g.hasUsual() {
 				continue
 			}
@@ -229,7 +232,7 @@
 		g.limiter.LearnUsual(g.reported)
 		plan, _ := g.limiter.Plan()
 		g.levels.Update(float64(c.endpoints.InProgress(name)), g.reported.Slots, plan.AtEndpoints != nil)
-		g.planner.leveled = g.levels.Active()
+		g.planner.leveled = c.endpoints.Levels(name) > 1
 		if !covered {
 			continue
 		}
--- a/internal/request/admission/levels_test.go
+++ b/internal/request/admission/levels_test.go
@@ -220,8 +220,8 @@
 	for _, levels := range []int{1, 3} {
 		t.Run(strconv.Itoa(levels)+" levels", func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				old, _ := newTestController(2)
-				fresh, _ := newTestController(2)
+				old, _ := newLeveledController(2, levels)
+				fresh, _ := newLeveledController(2, levels)
 				admit := func(c *Controller) {
 					_, ticket := c.Admit("g", Request{Account: "a", Cost: 1, Levels: levels})
 					ticket.End()
@@ -250,6 +250,22 @@
 	}
 }
 
+// TestLevelsFollowBundle checks that plans go by the levels that the bundle in force has,
+// whatever requests an entry got before.
+func TestLevelsFollowBundle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, levels := range []int{1, 3} {
+			c, _ := newLeveledController(1, levels)
+			_, ticket := c.Admit("g", Request{Account: "a", Cost: 1, Levels: 4 - levels})
+			ticket.End()
+			c.Update()
+			if made, leveled := len(c.Plans()) > 0, levels > 1; made != leveled {
+				t.Errorf("with %d levels, a plan is made: %t", levels, made)
+			}
+		}
+	})
+}
+
 // BenchmarkPlan makes the plan of 410 entries, each of which knows a hundred of a thousand
 // accounts.
 func BenchmarkPlan(b *testing.B) {
--- a/pkg/bundle/urgency.go
+++ b/pkg/bundle/urgency.go
@@ -92,5 +92,9 @@
 	for level < len(all)-1 && all[level].compare(own) < 0 {
 		level++
 	}
-	return level, max(1, len(all))
+	return level, b.Levels(group)
 }
+
+// Levels returns the number of ranks of requests to a group, 1 if its routes have the same
+// priority.
+func (b *Bundle) Levels(group string) int { return max(1, len(b.index.levels[group])) }
--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -214,6 +214,8 @@
 without "what was asked for long ago does not count" $admission/levels.go 's/l.asked\[i\] \*= factor/l.asked[i] *= 1/' ./$admission ""
 without "the least urgent are turned away (entry)" internal/connection/caller/admission.go 's/Levels:   q.levels/Levels:   1/' ./$entry "differ in urgency"
 without "those who are turned away learn why" internal/connection/caller/admission.go 's/if decision.LessUrgent \{/if false {/' ./$entry "differ in urgency"
+without "plans go by the levels of the bundle" $admission/controller.go 's/planner.leveled = .*/planner.leveled = g.levels.Active()/' ./$admission ""
+without "the levels of the bundle reach the plans (entry)" $entry/fleetload.go 's/return b.Levels\(group\)/return 1/' ./$entry "differ in urgency"
 without "the room rises slowly" $admission/levels.go 's/min\(slots, max\(.*\)\)$/slots + 0*rise/' ./$admission ""
 without "levels go with what the configuration holds" $admission/levels.go 's/if r.Levels <= 1 \{/if false {/' ./$admission ""
 without "nobody is turned away without counts of others" $admission/levels.go 's/!l.known \|\| //' ./$admission ""
