Tell the age of the plan with refusals by urgency

Log lines of refusals by urgency had planAgeMs 0, though the counts that decide come with the plan. The decision now has its age; TestPlanAgeOfRefusal fails before, and falsify.sh has a line.

--- a/internal/connection/caller/request.go
+++ b/internal/connection/caller/request.go
@@ -199,7 +199,8 @@
 func (q *request) urgency(resumed bool) int {
 	u := leastUrgent - q.priority()
 	if q.levels > 1 {
-		// Requests that are on time go before all that are late.
+		// The least urgent levels share a place, so that requests that are on time go before
+		// those that are late.
 		u = min(q.level, latePenalty-1)
 	}
 	late := q.route.LatencyObjective > 0 && q.priorWait+time.Since(q.started) > q.route.LatencyObjective
--- a/internal/request/admission/controller.go
+++ b/internal/request/admission/controller.go
@@ -80,6 +80,15 @@
 	return len(plan.State.Usual) > 0
 }
 
+// withPlanAge adds to a refusal by urgency the age of the plan that tells the requests of
+// other entries.
+func (g *group) withPlanAge(d Decision) Decision {
+	if d.LessUrgent {
+		_, d.PlanAge = g.limiter.Plan()
+	}
+	return d
+}
+
 // report is what another entry reported.
 type report struct {
 	loads      map[string]Load
@@ -111,7 +120,7 @@
 	g.meter.CountArrival(r)
 	d := g.limiter.Decide(r)
 	if d.Admitted {
-		d = g.levels.Decide(r, d)
+		d = g.withPlanAge(g.levels.Decide(r, d))
 	}
 	if !d.Admitted {
 		return d, Ticket{}
@@ -128,7 +137,7 @@
 	plan, age := g.limiter.Plan()
 	d := g.limiter.Preview(r)
 	if d.Admitted {
-		d = g.levels.Preview(r, d)
+		d = g.withPlanAge(g.levels.Preview(r, d))
 	}
 	return d, plan, age
 }
--- a/internal/request/admission/levels_test.go
+++ b/internal/request/admission/levels_test.go
@@ -266,6 +266,36 @@
 	})
 }
 
+// TestPlanAgeOfRefusal checks that a refusal by urgency tells the age of the plan.
+func TestPlanAgeOfRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, _ := newLeveledController(1, 2)
+		admit := func(level int) Decision {
+			d, _ := c.Admit("g", Request{Account: "a", Cost: 1, Level: level, Levels: 2})
+			return d
+		}
+		admit(1)
+		c.Update()
+		c.Update()
+		for range 200 {
+			admit(0)
+		}
+		time.Sleep(100 * time.Millisecond)
+		refused := 0
+		for range 10 {
+			if d := admit(1); !d.Admitted {
+				refused++
+				if d.PlanAge != 100*time.Millisecond {
+					t.Fatalf("the plan is %v old", d.PlanAge)
+				}
+			}
+		}
+		if refused == 0 {
+			t.Error("nothing is refused")
+		}
+	})
+}
+
 // BenchmarkPlan makes the plan of 410 entries, each of which knows a hundred of a thousand
 // accounts.
 func BenchmarkPlan(b *testing.B) {
--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -216,6 +216,7 @@
 without "those who are turned away learn why" internal/connection/caller/admission.go 's/if decision.LessUrgent \{/if false {/' ./$entry "differ in urgency"
 without "plans go by the levels of the bundle" $admission/controller.go 's/planner.leveled = .*/planner.leveled = g.levels.Active()/' ./$admission ""
 without "the levels of the bundle reach the plans (entry)" $entry/fleetload.go 's/return b.Levels\(group\)/return 1/' ./$entry "differ in urgency"
+without "a refusal by urgency tells the age of the plan" $admission/controller.go 's/_, d.PlanAge = /_, _ = /' ./$admission ""
 without "the room rises slowly" $admission/levels.go 's/min\(slots, max\(.*\)\)$/slots + 0*rise/' ./$admission ""
 without "levels go with what the configuration holds" $admission/levels.go 's/if r.Levels <= 1 \{/if false {/' ./$admission ""
 without "nobody is turned away without counts of others" $admission/levels.go 's/!l.known \|\| //' ./$admission ""
