--- a/internal/request/admission/controller.go
+++ b/internal/request/admission/controller.go
@@ -32,6 +32,9 @@
 	// Slots returns the number of requests that a group's usable endpoints run at the
 	// same time.
 	Slots(group string) int
+	// Levels returns the number of levels of urgency that the bundle in force gives to the
+	// requests to a group; 1 if they do not differ.
+	Levels(group string) int
 	// InProgress returns the requests at a group's usable endpoints: those of this entry,
 	// and what it knows of those of others.
 	InProgress(group string) int
@@ -77,6 +80,15 @@
 	return len(plan.State.Usual) > 0
 }
 
+// withPlanAge adds to a refusal by urgency the age of the plan that tells the requests of
+// other entries.
+func (g *group) withPlanAge(d Decision) Decision {
+	if d.LessUrgent {
+		_, d.PlanAge = g.limiter.Plan()
+	}
+	return d
+}
+
 // report is what another entry reported.
 type report struct {
 	loads      map[string]Load
@@ -108,7 +120,7 @@
 	g.meter.CountArrival(r)
 	d := g.limiter.Decide(r)
 	if d.Admitted {
-		d = g.levels.Decide(r, d)
+		d = g.withPlanAge(g.levels.Decide(r, d))
 	}
 	if !d.Admitted {
 		return d, Ticket{}
@@ -125,7 +137,7 @@
 	plan, age := g.limiter.Plan()
 	d := g.limiter.Preview(r)
 	if d.Admitted {
-		d = g.levels.Preview(r, d)
+		d = g.withPlanAge(g.levels.Preview(r, d))
 	}
 	return d, plan, age
 }
@@ -195,7 +207,7 @@
 			continue
 		}
 		switch usual := p.Plan.State.Usual; {
-		case len(usual) == 0 && g.levels.Active():
+		case len(usual) == 0 && c.endpoints.Levels(p.Group) > 1:
 			if g.hasUsual() {
 				continue
 			}
@@ -229,7 +241,7 @@
 		g.limiter.LearnUsual(g.reported)
 		plan, _ := g.limiter.Plan()
 		g.levels.Update(float64(c.endpoints.InProgress(name)), g.reported.Slots, plan.AtEndpoints != nil)
-		g.planner.leveled = g.levels.Active()
+		g.planner.leveled = c.endpoints.Levels(name) > 1
 		if !covered {
 			continue
 		}
--- a/internal/request/admission/levels_test.go
+++ b/internal/request/admission/levels_test.go
@@ -22,6 +22,8 @@
 	for level := range 3 {
 		decide(l, level, 3)
 	}
+	// The credit begins at random.
+	clear(l.credit)
 	return l
 }
 
@@ -94,6 +96,24 @@
 				t.Error("it is turned away")
 			}
 		}},
+		{"without slots, no level is refused", func(t *testing.T, l *Levels) {
+			l.Update(5, 0, true)
+			for level := range 3 {
+				if !decide(l, level, 3) {
+					t.Errorf("level %d is refused", level)
+				}
+			}
+		}},
+		{"what was asked for long ago does not count", func(t *testing.T, l *Levels) {
+			for range 100 {
+				decide(l, 0, 3)
+			}
+			time.Sleep(10 * rateWindow)
+			decide(l, 2, 3)
+			if got := sumOf(l.asked); got > 1.1 {
+				t.Errorf("%.2f requests count, not 1", got)
+			}
+		}},
 		{"no level starves", func(t *testing.T, l *Levels) {
 			admitted := 0.0
 			for range 200 {
@@ -128,6 +148,7 @@
 			for level := range 5 {
 				decide(l, level, 5)
 			}
+			clear(l.credit)
 			if decide(l, 4, 5) {
 				t.Error("urgency does not decide with other levels")
 			}
@@ -140,6 +161,50 @@
 	}
 }
 
+// TestFewRequestsAtFullSlots checks that an entry with few requests admits as few of the
+// least urgent ones as others do, and not none.
+func TestFewRequestsAtFullSlots(t *testing.T) {
+	for _, interval := range []time.Duration{20 * time.Millisecond, 100 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second, 4 * time.Second} {
+		t.Run(interval.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := &Levels{}
+				admitted := [2]float64{}
+				for range 100 {
+					occupy(l, 100)
+					for level := range admitted {
+						if decide(l, level, len(admitted)) {
+							admitted[level]++
+						}
+					}
+					time.Sleep(interval)
+				}
+				if share, of := admitted[1]/100, 0.25*(admitted[0]+admitted[1])/200; share > 0.4 || share < of {
+					t.Errorf("%.2f of the least urgent level are admitted, not %.2f to 0.40", share, of)
+				}
+			})
+		})
+	}
+}
+
+// TestFirstRequestsAtFullSlots checks that of entries which get one request each, as many
+// admit it as if one entry got them all.
+func TestFirstRequestsAtFullSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const entries = 400
+		admitted := 0.0
+		for range entries {
+			l := &Levels{}
+			occupy(l, 200)
+			if decide(l, 1, 2) {
+				admitted++
+			}
+		}
+		if share := admitted / entries; share < 0.25 || share > 0.45 {
+			t.Errorf("%.2f are admitted", share)
+		}
+	})
+}
+
 func BenchmarkLevels(b *testing.B) {
 	l := &Levels{}
 	l.Update(97, 100, true)
@@ -155,8 +220,8 @@
 	for _, levels := range []int{1, 3} {
 		t.Run(strconv.Itoa(levels)+" levels", func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				old, _ := newTestController(2)
-				fresh, _ := newTestController(2)
+				old, _ := newLeveledController(2, levels)
+				fresh, _ := newLeveledController(2, levels)
 				admit := func(c *Controller) {
 					_, ticket := c.Admit("g", Request{Account: "a", Cost: 1, Levels: levels})
 					ticket.End()
@@ -185,6 +250,52 @@
 	}
 }
 
+// TestLevelsFollowBundle checks that plans go by the levels that the bundle in force has,
+// whatever requests an entry got before.
+func TestLevelsFollowBundle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, levels := range []int{1, 3} {
+			c, _ := newLeveledController(1, levels)
+			_, ticket := c.Admit("g", Request{Account: "a", Cost: 1, Levels: 4 - levels})
+			ticket.End()
+			c.Update()
+			if made, leveled := len(c.Plans()) > 0, levels > 1; made != leveled {
+				t.Errorf("with %d levels, a plan is made: %t", levels, made)
+			}
+		}
+	})
+}
+
+// TestPlanAgeOfRefusal checks that a refusal by urgency tells the age of the plan.
+func TestPlanAgeOfRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, _ := newLeveledController(1, 2)
+		admit := func(level int) Decision {
+			d, _ := c.Admit("g", Request{Account: "a", Cost: 1, Level: level, Levels: 2})
+			return d
+		}
+		admit(1)
+		c.Update()
+		c.Update()
+		for range 200 {
+			admit(0)
+		}
+		time.Sleep(100 * time.Millisecond)
+		refused := 0
+		for range 10 {
+			if d := admit(1); !d.Admitted {
+				refused++
+				if d.PlanAge != 100*time.Millisecond {
+					t.Fatalf("the plan is %v old", d.PlanAge)
+				}
+			}
+		}
+		if refused == 0 {
+			t.Error("nothing is refused")
+		}
+	})
+}
+
 // BenchmarkPlan makes the plan of 410 entries, each of which knows a hundred of a thousand
 // accounts.
 func BenchmarkPlan(b *testing.B) {
