--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -131,7 +131,7 @@
 without "a preview is refused by the quarantine" internal/connection/caller/preview.go 's/case !d.promptAllowed\(false\):/case false:/' ./$entry "where a request would go"
 without "pages of a table belong to one era" platform/store.go 's/case a.era != out.Revision.Era:/case false:/' ./platform ""
 without "rereads that do not help wait" internal/connection/store/follower.go 's/if rereads == 1 \{/if true {/' ./$entry "keeps no history"
-without "fencing tokens rise with the era" internal/connection/store/lease.go 's/k.acquiredRevision.Era\*tokensPerEra \+ //' ./internal/connection/store ""
+without "fencing tokens rise with the era" internal/connection/store/lease.go 's/r.Era\*tokensPerEra \+ //' ./internal/connection/store ""
 without "a copy's older rows do not replace later ones" internal/version/mirror/restore.go 's/known.Era < row.Era \&\& m.writeOrder/false \&\& m.writeOrder/' ./$entry "comes back from a copy"
 without "removed rows that a copy brings back are withheld" internal/version/mirror/restore.go 's/ok \&\& removed.Era < row.Era/false/' ./$entry "comes back from a copy"
 without "rows that a copy lacks stay for a while" internal/version/mirror/mirror.go 's/case restored:/case false:/' ./$entry "comes back from a copy"
