Leave out the time in which the entry itself was stopped

After a suspension of the process all clients that it waited for seemed to have stalled, and the next request without room cut them off one by one. A shutdown cut stalled callers off at its begin, up to the whole drain time before their connections had to end.

Longer stall times were ruled out: a suspension has no bound. The budget now hears every 250 ms that the process runs, and leaves a gap of more than 750 ms out of the time in which clients stalled, also if a request comes first. A shutdown cuts off only in its last second.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/cicadareel/cicadareel/internal/connection/operator"
 	"github.com/cicadareel/cicadareel/internal/events"
 	"github.com/cicadareel/cicadareel/internal/process/settings"
+	"github.com/cicadareel/cicadareel/internal/request/memory"
 	"github.com/cicadareel/cicadareel/internal/tcp"
 )
 
@@ -26,8 +27,12 @@
 	idleTimeout = 2 * time.Minute
 )
 
-// cutOffInterval is the time between two searches for stalled callers at shutdown.
-const cutOffInterval = 250 * time.Millisecond
+const (
+	// cutOffTime is the part at the end of a shutdown in which stalled callers are cut off.
+	cutOffTime = time.Second
+	// cutOffInterval is the time between two searches for stalled callers in it.
+	cutOffInterval = 250 * time.Millisecond
+)
 
 // operatorServerGrace is how long running readiness checks and metrics requests may
 // take at shutdown.
@@ -143,10 +148,15 @@
 	log.Info(events.SettingsReloaded, nil)
 }
 
-// cutOffStalled cuts off callers that have stalled until ctx ends, so that they do not
-// delay the shutdown.
-func (e *entry) cutOffStalled(ctx context.Context) {
-	budget := e.environment.dependencies.Memory
+// cutOffStalled cuts off callers that have stalled in the last cutOffTime before the
+// deadline of ctx, so that the connections of all others end in order.
+func cutOffStalled(ctx context.Context, budget *memory.Budget) {
+	if deadline, ok := ctx.Deadline(); ok {
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Until(deadline) - cutOffTime):
+		}
+	}
 	for budget != nil && ctx.Err() == nil {
 		if budget.CutOffStalled() {
 			continue
@@ -169,7 +179,7 @@
 	time.Sleep(e.environment.lameDuck)
 	drainCtx, cancel := context.WithTimeout(context.Background(), e.environment.drainTimeout)
 	defer cancel()
-	go e.cutOffStalled(drainCtx)
+	go cutOffStalled(drainCtx, e.environment.dependencies.Memory)
 	err := e.callerServer.Shutdown(drainCtx)
 	e.stopTasks()
 	e.environment.close()
--- a/internal/process/entry/storeenvironment.go
+++ b/internal/process/entry/storeenvironment.go
@@ -77,6 +77,7 @@
 	}
 	fleet.liveEntries, fleet.onLimitChange = peers.gossip.LiveInstances, peers.gossip.Spread
 	follower := store.NewFollower(ctx, client, tableMirror, peers.gossip.Following, log)
+	fleet.loops.Go(func() { memoryLoop(ctx, budget) })
 	fleet.loops.Go(func() { admissionLoop(ctx, controller, log) })
 	fleet.loops.Go(func() { fleet.placementLoop(ctx) })
 	fleet.loops.Go(func() { limitShareLoop(ctx, s, peers.gossip, fleet, budgets) })
--- a/internal/request/memory/budget.go
+++ b/internal/request/memory/budget.go
@@ -31,6 +31,10 @@
 	// packets, are faster.
 	stallTime  = 2 * time.Second
 	leastMoved = 16 << 10
+	// WatchInterval is the time between two calls of Saw, and maxLate how much later one
+	// may be before the process counts as having been stopped.
+	WatchInterval = 250 * time.Millisecond
+	maxLate       = 500 * time.Millisecond
 )
 
 // Kind says what bytes are held for. Its values index Usage.Held.
@@ -100,6 +104,8 @@
 	cutOff   int64
 	// ending is what holders hold that were cut off and have not ended yet.
 	ending int64
+	// seen is when the process was last seen to run; zero before the first call of Saw.
+	seen time.Time
 	// changed is closed and replaced when bytes are given back.
 	changed chan struct{}
 }
@@ -140,6 +146,23 @@
 	return h
 }
 
+// Saw notes that the process runs. Called every WatchInterval, it keeps the time in which
+// the process itself was stopped from counting as time in which clients stalled.
+func (b *Budget) Saw() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.saw(time.Now())
+}
+
+func (b *Budget) saw(now time.Time) {
+	if gap := now.Sub(b.seen); !b.seen.IsZero() && gap > WatchInterval+maxLate {
+		for h := range b.holders {
+			h.postpone(gap, now)
+		}
+	}
+	b.seen = now
+}
+
 // CutOffStalled cuts off the client that holds most and moves least, if one has stalled,
 // and reports whether there was one.
 func (b *Budget) CutOffStalled() bool {
@@ -279,6 +302,9 @@
 // pickStalled returns the holder to be cut off: of the eligible ones whose clients have
 // stalled, the one with the largest product of held bytes and time; nil if there is none.
 func (b *Budget) pickStalled(now time.Time, eligible func(*Holder) bool) (*Holder, Cut) {
+	if !b.seen.IsZero() {
+		b.saw(now)
+	}
 	var victim *Holder
 	var most float64
 	for h := range b.holders {
--- a/internal/request/memory/budget_test.go
+++ b/internal/request/memory/budget_test.go
@@ -332,6 +332,37 @@
 	})
 }
 
+// TestAProcessThatWasStoppedCutsNobodyOff replays a suspension: nothing runs for a while,
+// and all clients seem to have stalled afterwards.
+func TestAProcessThatWasStoppedCutsNobodyOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := memory.NewBudget(capacity)
+		c := begin(b, "a")
+		expectTaken(t, c.Take(t.Context(), memory.Bodies, bodyBytes, 0))
+		run := func(d time.Duration) {
+			for range d / memory.WatchInterval {
+				time.Sleep(memory.WatchInterval)
+				b.Saw()
+			}
+		}
+		b.Saw()
+		c.BeginWait()
+		run(time.Second)
+		time.Sleep(10 * time.Second)
+		if b.CutOffStalled() {
+			t.Error("cut off right after the stop")
+		}
+		run(750 * time.Millisecond)
+		if b.CutOffStalled() {
+			t.Error("cut off after less than two seconds in which the process ran")
+		}
+		run(time.Second)
+		if !b.CutOffStalled() {
+			t.Error("not cut off after more than two seconds in which the process ran")
+		}
+	})
+}
+
 func TestNothingIsTakenAfterTheEnd(t *testing.T) {
 	b := memory.NewBudget(capacity)
 	c := begin(b, "a")
--- a/internal/request/memory/holder.go
+++ b/internal/request/memory/holder.go
@@ -107,6 +107,16 @@
 	return now.Sub(h.since)
 }
 
+// postpone leaves a time that ended now out of the time in which the client stalled.
+func (h *Holder) postpone(gap time.Duration, now time.Time) {
+	if h.since.IsZero() {
+		return
+	}
+	if h.since = h.since.Add(gap); h.since.After(now) {
+		h.since = now
+	}
+}
+
 func (h *Holder) total() int64 { return sum(h.held) }
 
 func (h *Holder) isLarge() bool { return h.total() > smallBytes }
--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -225,6 +225,7 @@
 without "who holds most and moves least is cut off" $memory/budget.go 's/weight > most/weight < most/' ./$memory ""
 without "only clients whose room helps are cut off" $memory/budget.go 's/ \|\| !eligible\(h\)/ || eligible == nil/' ./$memory ""
 without "nothing is taken after the end" $memory/holder.go 's/ok = ok \&\& !h.ended; ok/ok/' ./$memory ""
+without "a process that was stopped cuts nobody off" $memory/budget.go 's/h.postpone\(gap, now\)/_ = h/' ./$memory ""
 without "a client is cut off once" $memory/budget.go 's/if h.cut \|\| stalled/if stalled/' ./$memory ""
 without "the connection idle for longest is closed" $memory/connections.go 's/c.waiting.Front\(\)/c.waiting.Back()/' ./$memory ""
 without "stalled clients are cut off for new connections" $memory/connections.go 's/room \&\& c.cutOffStalled\(\)/room \&\& false/' ./$memory ""
