--- a/scripts/falsify.sh
+++ b/scripts/falsify.sh
@@ -160,7 +160,7 @@
 without "entries that shut down acquire no lease" internal/connection/peer/following.go 's/\tg.steppingDown = true/\tg.steppingDown = false/' ./$entry "shutting down"
 without "accounts have a priority" platform/config.go 's/Priority: t.priority\(\)/Priority: nil/' ./$entry "priority of their client account"
 without "held failure domains get no requests (soak)" $entry/directfleet.go 's/e.member.SetHeld\(held\[.*/e.member.SetHeld(false)/' ./internal/soak 1
-without "a status that implies no execution needs the header for it (soak)" platform/endpointdialect.go 's/case impliesNotExecuted\(status\)/case false/' ./internal/soak 4
+without "a status that implies no execution needs the header for it (soak)" platform/endpointdialect.go 's/case impliesNotExecuted\(status\)/case false/' ./internal/soak 1
 without "ids of stream events are checked (soak)" internal/request/eventstream/splicer.go 's/if id != s.lastID\+1 \{/if false {/' ./internal/soak 3
 without "popularity samples are weighted by their number of expert choices" $entry/popularity.go 's/choices \/ p.weight/0.5/' ./$entry "popularity of experts"
 without "ranks without requests are left for the next rank to sample" $entry/mapsample.go 's/c.sampleNextRank\("no requests"\)//' ./$entry "first ranks get no requests"
