--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -12,9 +12,10 @@
 
 func main() {
 	cases := map[string]func(*deployment) (bool, error){
-		"headers":  runHeaders,
-		"stop":     runStop,
-		"versions": runVersions,
+		"headers":     runHeaders,
+		"stop":        runStop,
+		"versions":    runVersions,
+		"foreign-row": runForeignRow,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-2 CASE RECORD")
