--- a/review/_standin-2/endpoint.go
+++ b/review/_standin-2/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -71,6 +72,10 @@
 	case <-r.Context().Done():
 		return
 	}
+	// A server that closes a connection with unread bytes resets it.
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
 	e.mu.Lock()
 	e.runs[id]++
 	e.mu.Unlock()
