--- a/review/_standin-3/main.go
+++ b/review/_standin-3/main.go
@@ -13,8 +13,9 @@
 
 // cases are the cases by name. Each returns whether the rule held.
 var cases = map[string]func(c *context) bool{
-	"crowd": crowd,
-	"stop":  stop,
+	"crowd":   crowd,
+	"stop":    stop,
+	"readers": readers,
 }
 
 // context is what a case runs with.
