--- a/review/_standin-3/main.go
+++ b/review/_standin-3/main.go
@@ -16,6 +16,7 @@
 	"crowd":   crowd,
 	"stop":    stop,
 	"readers": readers,
+	"version": expectVersion,
 }
 
 // context is what a case runs with.
