--- a/review/_standin-3/world.go
+++ b/review/_standin-3/world.go
@@ -46,10 +46,16 @@
 // exitUnable is the status of a case that could not run.
 const exitUnable = 2
 
+// temporary is the temporary folder of the case; empty before there is one.
+var temporary string
+
 // fail ends a case that cannot run.
 func fail(format string, args ...any) {
 	fmt.Fprintf(os.Stderr, format+"\n", args...)
 	stopAll()
+	if temporary != "" {
+		_ = os.RemoveAll(temporary)
+	}
 	os.Exit(exitUnable)
 }
 
@@ -76,8 +82,11 @@
 
 func newStore() *store { return &store{rows: map[string]row{}, changed: make(chan struct{})} }
 
-// put writes a row as the operator or a worker does.
-func (s *store) put(table, key string, value any) {
+// put writes a row as the operator or a worker does, with an empty part.
+func (s *store) put(table, key string, value any) { s.putPart(table, "", key, value) }
+
+// putPart writes a row.
+func (s *store) putPart(table, part, key string, value any) {
 	content, err := json.Marshal(value)
 	if err != nil {
 		fail("row: %v", err)
@@ -85,7 +94,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.write(row{Table: table, Key: key, Value: content})
+	s.write(row{Table: table, Part: part, Key: key, Value: content})
 }
 
 // remove removes a row.
@@ -513,3 +522,21 @@
 	var t net.Error
 	return errors.As(err, &t) && t.Timeout()
 }
+
+// request sends one request over a new connection and returns the status, 0 for none, and why
+// it is no complete answer.
+func request(e *entry, path, id string) (int, string) {
+	k, err := connect(e.callers)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = k.conn.Close() }()
+	resp, _, err := k.send(head("POST", path, id, 3*time.Second, 0), 3*time.Second)
+	switch {
+	case resp == nil:
+		return 0, err.Error()
+	case err != nil:
+		return resp.StatusCode, err.Error()
+	}
+	return resp.StatusCode, ""
+}
