--- a/review/_standin-3/main.go
+++ b/review/_standin-3/main.go
@@ -13,6 +13,7 @@
 
 // cases are the cases by name. Each returns whether the rule held.
 var cases = map[string]func(c *context) bool{
+	"ids":     ids,
 }
 
 // context is what a case runs with.
