Review case 13: unfinished heads exceed the memory of entries

1,400 clients for each of two entries send heads of legal size that stop just short of their end, with many short fields, and close within the header time. Nothing is charged before a head is whole.

--- a/review/_standin-3/main.go
+++ b/review/_standin-3/main.go
@@ -14,6 +14,7 @@
 // cases are the cases by name. Each returns whether the rule held.
 var cases = map[string]func(c *context) bool{
 	"ids":     ids,
+	"heads":   heads,
 	"parts":   parts,
 }
 
