Review case 14: callers that pause while they read are cut off for a crowd

Eight callers on kept connections read a large answer with a pause of 3 s while 1,400 clients send legal bodies piece by piece. The budget cuts off the holder with the most bytes times stalled time first, which are the callers whose requests have run.

--- a/review/_standin-3/main.go
+++ b/review/_standin-3/main.go
@@ -16,6 +16,7 @@
 	"ids":     ids,
 	"heads":   heads,
 	"parts":   parts,
+	"readers": readers,
 }
 
 // context is what a case runs with.
