--- a/review/_standin-3/main.go
+++ b/review/_standin-3/main.go
@@ -15,6 +15,7 @@
 var cases = map[string]func(c *context) bool{
 	"ids":     ids,
 	"heads":   heads,
+	"move":    moveStore,
 	"parts":   parts,
 	"readers": readers,
 }
