--- a/review/_standin-3/move.go
+++ b/review/_standin-3/move.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -17,16 +19,26 @@
 	applyTime  = 2 * time.Second
 	// applyMargin is added to applyTime, and lateRequests is the number of requests to each
 	// entry after both.
-	applyMargin  = 3 * time.Second
+	applyMargin = 3 * time.Second
+	// signaled is the number of entries that get SIGHUP: 0.6 of the site's five. They get it
+	// over signalGap.
+	signaled     = 3
+	signalGap    = 2 * time.Second
 	lateRequests = 20
 )
 
-// moveStore moves the platform's store to another address. The settings files change, and the
-// entries get SIGHUP. Then a new version of the configuration moves a route.
+// moveStore moves the platform's store to another address. The settings files change, and some
+// entries get SIGHUP. Then a new version of the configuration moves a route. Only the entries
+// that got SIGHUP are judged.
 func moveStore(c *context) bool {
 	s := newStore()
 	first, second := listen(), listen()
-	oldServer, newServer := &http.Server{Handler: s}, &http.Server{Handler: s}
+	var newCalls atomic.Int64
+	oldServer := &http.Server{Handler: s}
+	newServer := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		newCalls.Add(1)
+		s.ServeHTTP(w, r)
+	})}
 	go func() { _ = oldServer.Serve(first) }()
 	go func() { _ = newServer.Serve(second) }()
 	services := []map[string]any{plainService("booking-app"), plainService("booking-next")}
@@ -41,7 +53,7 @@
 			startWorker(s, newID, "booking-next", zone, 6, plainWorker(c, newID, ran)))
 	}
 	go heartbeats(workers)
-	entries := startEntries(c.dir, first.Addr().String(), zones, memoryMB)
+	entries := startEntries(c.dir, first.Addr().String(), []string{"espoo-a", "espoo-a", "vantaa-b", "vantaa-b", "helsinki-c"}, memoryMB)
 	time.Sleep(2 * time.Second)
 	for i, e := range entries {
 		status, why := request(e, "/book/1", fmt.Sprintf("before-%d", i))
@@ -62,9 +74,11 @@
 		c.record.line("the store moves from %s to %s; the settings files have the new address", first.Addr(), second.Addr())
 		_ = oldServer.Close()
 	}
+	entries = entries[:signaled]
 	for _, e := range entries {
 		_ = e.cmd.Process.Signal(syscall.SIGHUP)
 		c.record.line("SIGHUP to %s", e.name)
+		time.Sleep(signalGap / signaled)
 	}
 	time.Sleep(moveSettle)
 	s.put("op", "config", config(2, []route{newRoute("unsafe", "/book/", "booking-next", 1500, 300)}, services))
@@ -84,8 +98,10 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	for _, e := range entries {
-		c.record.line("%s is ready: %v", e.name, e.ready())
+		log, _ := os.ReadFile(filepath.Join(c.dir, e.name+".log"))
+		c.record.line("%s is ready: %v; its log says that it has read the settings: %v", e.name, e.ready(), strings.Contains(string(log), "settings reloaded"))
 	}
+	c.record.line("calls to the store at the other address: %d", newCalls.Load())
 	c.record.line("%d of %d requests were run by the old service", stale, lateRequests*len(entries))
 	return stale == 0
 }
