Report a reset that meets the upload as a broken response

Callers got a part of a response as a complete one: an endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once, to the next read or write of the socket. While an upload waits for room, the write and the read wake up together. If the write gets ECONNRESET, the read returns 0, which net/http takes for the end of a body that ends with its connection. It affects every client of net/http that sends long bodies: direct attempts, buffered or streamed, the sidecar's requests, and writes to the platform's store.

Fix: internal/http1 wraps the connections of all HTTP clients. A read that finds the end of the input ends a write in progress, since net/http drops the connection after it anyway, waits for it, and reports a reset if a write failed. A write that fails with EPIPE is the sign that the endpoint ended its side first: such a response is complete and stays served, as is one to an upload that goes on (TestResponseEndedByConnection).

--- a/internal/cli/where.go
+++ b/internal/cli/where.go
@@ -16,6 +16,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/cicadareel/cicadareel/internal/connection/caller"
+	"github.com/cicadareel/cicadareel/internal/http1"
 	"github.com/cicadareel/cicadareel/platform"
 )
 
@@ -88,7 +89,7 @@
 		return out, oops.In("cli").Wrap(err)
 	}
 	req.Header = header
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := (&http.Client{Transport: http1.NewDefaultTransport()}).Do(req)
 	if err != nil {
 		return out, &UnreachableError{Cause: err}
 	}
--- a/internal/connection/endpoint/endpoint.go
+++ b/internal/connection/endpoint/endpoint.go
@@ -17,6 +17,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/cicadareel/cicadareel/internal/http1"
 	"github.com/cicadareel/cicadareel/pkg/bundle"
 )
 
@@ -110,15 +111,15 @@
 	}
 }
 
-func newTransport(dial DialFunc, unpooled bool) *http.Transport {
-	return &http.Transport{
+func newTransport(dial DialFunc, unpooled bool) http.RoundTripper {
+	return http1.NewTransport(&http.Transport{
 		DialContext:         dial,
 		DisableKeepAlives:   unpooled,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConnections,
 
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}
+	})
 }
 
 // noRedirect makes a client return redirects instead of following them.
--- a/internal/connection/store/client.go
+++ b/internal/connection/store/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/cicadareel/cicadareel/internal/http1"
 	"github.com/cicadareel/cicadareel/internal/table"
 )
 
@@ -68,7 +69,7 @@
 
 // NewClient returns a client of the services at the given addresses.
 func NewClient(table, objects, instances netip.AddrPort) *Client {
-	client := &http.Client{Timeout: callTimeout}
+	client := &http.Client{Timeout: callTimeout, Transport: http1.NewDefaultTransport()}
 	return &Client{table: table, objects: objects, instances: instances, http: client, api: NewJSONClient(client)}
 }
 
