Log why the response to an attempt is broken

What operators saw: an attempt that broke left event 408 at an entry without its cause, and no line at all at a sidecar; event 501 did not say what was wrong with the load report.

Cause: transport.Broken carried nothing, and a sidecar's run dropped the error.

Fix: Broken has a cause, which event 408 shows as error. A sidecar logs 408 as well, unless the attempt was canceled. Event 501 has the error of the report.

--- a/internal/connection/caller/delivery.go
+++ b/internal/connection/caller/delivery.go
@@ -42,7 +42,11 @@
 }
 
 // transportBroken means that the connection broke or the deadline passed.
-type transportBroken struct{ timedOut bool }
+type transportBroken struct {
+	timedOut bool
+	// cause is nil if it is not known.
+	cause error
+}
 
 // outOfOrder means that the endpoint sent malformed events or events with
 // non-consecutive ids.
@@ -63,6 +67,11 @@
 func (callerGone) isDeliveryResult()      {}
 func (promptSuspected) isDeliveryResult() {}
 
+// PartialEventError reports an event stream that ended within an event.
+type PartialEventError struct{}
+
+func (*PartialEventError) Error() string { return "the stream ended within an event" }
+
 // delivery writes one response to the caller, across attempts.
 type delivery struct {
 	w       http.ResponseWriter
@@ -141,7 +150,7 @@
 		case transport.Refused:
 			return refused{reason: k.Reason, mayHaveRun: k.MayHaveRun}
 		case transport.Broken:
-			return transportBroken{}
+			return transportBroken{cause: k.Cause}
 		}
 		d.flush(x)
 		d.held.EndWait()
@@ -231,7 +240,7 @@
 // counts as broken.
 func (d *delivery) complete(e transport.End, x transport.Exchange) deliveryResult {
 	if d.splicer != nil && d.splicer.HasPartial() {
-		return transportBroken{}
+		return transportBroken{cause: &PartialEventError{}}
 	}
 	x.Acknowledge(e.Length)
 	return completed{}
--- a/internal/connection/caller/dispatch.go
+++ b/internal/connection/caller/dispatch.go
@@ -320,7 +320,7 @@
 			x.Cancel()
 			return d.handleTimeout(a)
 		}
-		return d.resolveBroken(ctx, a)
+		return d.resolveBroken(ctx, a, k.cause)
 	}
 	return finish{outcome: outcome.Unknown{Reason: outcome.ConnectionLost}}
 }
@@ -365,12 +365,12 @@
 
 // resolveBroken returns the next step after the transport of an attempt broke.
 // Only a sidecar's gate can tell whether the attempt ran.
-func (d *dispatch) resolveBroken(ctx context.Context, a attempt) nextStep {
+func (d *dispatch) resolveBroken(ctx context.Context, a attempt, cause error) nextStep {
 	switch t := a.target.Transport.(type) {
 	case SidecarTransport:
 		return d.sealAttempt(ctx, a, t.Link)
 	default:
-		d.recordBroken(ctx, a)
+		d.recordBroken(ctx, a, cause)
 		d.query.Exclude(a.target.Member)
 		return d.replay(outcome.ConnectionLost)
 	}
--- a/internal/connection/caller/quarantine.go
+++ b/internal/connection/caller/quarantine.go
@@ -94,12 +94,16 @@
 
 // recordBroken logs an attempt whose connection to the endpoint broke. If the endpoint
 // crashed before it began to write its response, the request may be the cause.
-func (d *dispatch) recordBroken(ctx context.Context, a attempt) {
+func (d *dispatch) recordBroken(ctx context.Context, a attempt, cause error) {
 	begun, waited := d.delivery.attemptBegun, time.Since(a.begun)
-	d.service.log(d.request, events.AttemptBroken, events.Fields{
+	fields := events.Fields{
 		"endpoint": a.target.Member.Name, "begun": begun, "tookMs": waited.Milliseconds(),
 		"sharedParts": partsForLog(d.request.sharedParts),
-	})
+	}
+	if cause != nil {
+		fields["error"] = cause.Error()
+	}
+	d.service.log(d.request, events.AttemptBroken, fields)
 	if begun || d.service.Quarantine == nil {
 		return
 	}
--- a/internal/connection/caller/sidecartransport.go
+++ b/internal/connection/caller/sidecartransport.go
@@ -81,7 +81,7 @@
 	if ctx.Err() != nil {
 		return finish{outcome: outcome.Unknown{Reason: outcome.ConnectionLost}}
 	}
-	return d.resolveBroken(ctx, a)
+	return d.resolveBroken(ctx, a, nil)
 }
 
 func headersToWire(h http.Header) []*wire.Header {
--- a/internal/connection/endpoint/direct.go
+++ b/internal/connection/endpoint/direct.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -75,6 +76,21 @@
 func (Misdirected) isResponseClass() {}
 func (Untrusted) isResponseClass()   {}
 
+// UntrustedError reports a response that is Untrusted.
+type UntrustedError struct{ Status int }
+
+func (e *UntrustedError) Error() string {
+	return fmt.Sprintf("response with status %d is not the endpoint's own to the attempt", e.Status)
+}
+
+// TooLongError reports an error response that is longer than maxBufferedBytes, or than there
+// is room for.
+type TooLongError struct{ Status int }
+
+func (e *TooLongError) Error() string {
+	return fmt.Sprintf("error response with status %d is too long", e.Status)
+}
+
 // Dialect defines the header fields of requests to endpoints and the meaning of
 // their responses.
 type Dialect interface {
@@ -248,7 +264,7 @@
 		x.finish(ConnectFailed{}, transport.Refused{Reason: outcome.EndpointUnreachable})
 		return
 	}
-	x.finish(BrokenOff{}, transport.Broken{})
+	x.finish(BrokenOff{}, transport.Broken{Cause: err})
 }
 
 // classify accepts a trusted response and ends the attempt on any other.
@@ -263,7 +279,7 @@
 	case Misdirected:
 		x.finish(Replaced{}, transport.Refused{Reason: outcome.EndpointReplaced})
 	case Untrusted:
-		x.finish(BrokenOff{}, transport.Broken{})
+		x.finish(BrokenOff{}, transport.Broken{Cause: &UntrustedError{Status: resp.StatusCode}})
 	}
 }
 
@@ -305,8 +321,10 @@
 	content, whole, err := x.buffer(resp)
 	failed := resp.StatusCode >= http.StatusInternalServerError
 	switch {
-	case err != nil, failed && !whole:
-		x.finish(BrokenOff{}, transport.Broken{})
+	case err != nil:
+		x.finish(BrokenOff{}, transport.Broken{Cause: err})
+	case failed && !whole:
+		x.finish(BrokenOff{}, transport.Broken{Cause: &TooLongError{Status: resp.StatusCode}})
 	case failed:
 		x.finish(ServerError{}, transport.Failed{Head: head, Body: content})
 	case whole:
@@ -374,7 +392,7 @@
 	case io.EOF:
 		x.finish(Served{}, transport.End{Length: x.length})
 	default:
-		x.finish(BrokenOff{}, transport.Broken{})
+		x.finish(BrokenOff{}, transport.Broken{Cause: err})
 	}
 	if len(x.queue) == 0 {
 		x.queue = append(x.queue, transport.Data{})
--- a/internal/connection/endpoint/monitor.go
+++ b/internal/connection/endpoint/monitor.go
@@ -67,18 +67,20 @@
 	load, err := m.prober.Probe(ctx, kind)
 	if err != nil {
 		m.gate.LoadReportsMissing()
-		m.logReadiness(false)
+		m.logReadiness(err)
 		return
 	}
 	restarted := load.Boot != m.boot
 	m.boot = load.Boot
 	m.setLeaving(load.Leaving)
 	m.gate.ApplyLoadReport(restarted, load.Running)
-	m.logReadiness(true)
+	m.logReadiness(nil)
 }
 
-// logReadiness logs whether reports arrive, when that changes.
-func (m *Monitor) logReadiness(ready bool) {
+// logReadiness logs whether reports arrive, when that changes. cause is why the last report
+// is missing; nil if it is there.
+func (m *Monitor) logReadiness(cause error) {
+	ready := cause == nil
 	if ready == m.ready {
 		return
 	}
@@ -87,5 +89,5 @@
 		m.log.Info(events.EndpointReady, nil)
 		return
 	}
-	m.log.Warn(events.EndpointNotReady, nil)
+	m.log.Warn(events.EndpointNotReady, events.Fields{"error": cause.Error()})
 }
--- a/internal/connection/endpoint/reset_test.go
+++ b/internal/connection/endpoint/reset_test.go
@@ -43,6 +43,11 @@
 	}
 }
 
+func isBroken(e transport.Event) bool {
+	_, ok := e.(transport.Broken)
+	return ok
+}
+
 // attemptKinds are the ways in which a response is read.
 var attemptKinds = map[string]endpoint.Attempt{"buffered": {}, "streamed": {Stream: true}}
 
@@ -55,7 +60,7 @@
 			a.Body = make([]byte, uploadBytes)
 			complete := 0
 			for range resetAttempts {
-				if _, last := attemptAt(t, at, a); last != (transport.Broken{}) {
+				if _, last := attemptAt(t, at, a); !isBroken(last) {
 					complete++
 				}
 			}
@@ -86,7 +91,7 @@
 					at := standin.StartRawServer(t, &standin.RawServer{Response: response, Ending: e})
 					for _, size := range []int{0, 1 << 10, uploadBytes} {
 						a.Body = make([]byte, size)
-						if body, last := attemptAt(t, at, a); last != (transport.Broken{}) {
+						if body, last := attemptAt(t, at, a); !isBroken(last) {
 							t.Errorf("%T, upload of %d bytes: body %q, then %#v", e, size, body, last)
 						}
 					}
--- a/internal/connection/entry/brokenresponse_test.go
+++ b/internal/connection/entry/brokenresponse_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,7 +11,10 @@
 
 	"github.com/cicadareel/cicadareel/internal/connection/endpoint"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
+	"github.com/cicadareel/cicadareel/internal/events"
+	"github.com/cicadareel/cicadareel/internal/metrics"
 	"github.com/cicadareel/cicadareel/internal/outcome"
+	"github.com/cicadareel/cicadareel/internal/request/gate"
 	"github.com/cicadareel/cicadareel/internal/request/response"
 	"github.com/cicadareel/cicadareel/internal/standin"
 )
@@ -25,13 +30,38 @@
 			Id: &wire.AttemptId{RequestId: "r", Number: 1}, Method: "POST", Target: "/x", Idempotent: idempotent,
 			Remaining: durationpb.New(time.Minute), Body: body,
 		}, time.Now())
-		r.execute(client)
+		_, _ = r.execute(client)
 		r.cancel()
 		all = append(all, partsOf(r))
 	}
 	return all
 }
 
+// TestBrokenResponseIsLogged checks that a sidecar logs why a response is broken.
+func TestBrokenResponseIsLogged(t *testing.T) {
+	m, err := metrics.NewMetrics()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	var lines bytes.Buffer
+	log := events.NewLogTo(&lines, "info", "sidecar-1")
+	client := endpoint.NewClient(standin.StartRawServer(t, &standin.RawServer{Response: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart", Ending: standin.Close{}}))
+	g := gate.NewGate("i", gate.Config{ColdLimit: 1, WarmLimit: 1}, func() (outcome.Reason, bool) { return "", false })
+	s := NewServer(ctx, "desk-1", "i", g, client, log, m)
+	r := newRun(ctx, beginFrame("r", g), time.Now())
+	s.startRun(r)
+	s.Drain(ctx)
+	stop()
+	s.Wait()
+	log.Close()
+	for _, want := range []string{`"event":408`, `"request":"r"`, `"endpoint":"desk-1"`, `"begun":true`, `"error":"unexpected EOF"`} {
+		if !strings.Contains(lines.String(), want) {
+			t.Errorf("the log has no %s: %s", want, lines.String())
+		}
+	}
+}
+
 // partsOf returns the parts of a response that has ended.
 func partsOf(r *run) []response.Part {
 	parts := []response.Part{}
--- a/internal/connection/entry/run.go
+++ b/internal/connection/entry/run.go
@@ -132,26 +132,26 @@
 	}
 }
 
-// execute sends the request to the endpoint, buffers the response, and returns
-// the completion for the gate.
-func (r *run) execute(client *endpoint.Client) gate.Completion {
+// execute sends the request to the endpoint, buffers the response, and returns the
+// completion for the gate. The error says why there is no complete response.
+func (r *run) execute(client *endpoint.Client) (gate.Completion, error) {
 	ctx := r.ctx
 	started := time.Now()
 	resp, err := client.Do(ctx, r.call)
 	if err != nil {
 		neverSent := isNeverSent(err)
 		r.fail(ctx, !neverSent)
-		return gate.Completion{NeverSent: neverSent, Healthy: ctx.Err() != nil, FirstByte: time.Since(started), Total: time.Since(started)}
+		return gate.Completion{NeverSent: neverSent, Healthy: ctx.Err() != nil, FirstByte: time.Since(started), Total: time.Since(started)}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	firstByte := time.Since(started)
 	r.response.SetHead(response.Head{Status: resp.StatusCode, Header: resp.Header})
 	if err := r.copyBody(resp); err != nil {
 		r.fail(ctx, true)
-		return gate.Completion{Healthy: ctx.Err() != nil, FirstByte: firstByte, Total: time.Since(started)}
+		return gate.Completion{Healthy: ctx.Err() != nil, FirstByte: firstByte, Total: time.Since(started)}, err
 	}
 	r.response.End()
-	return gate.Completion{Healthy: true, FirstByte: firstByte, Total: time.Since(started)}
+	return gate.Completion{Healthy: true, FirstByte: firstByte, Total: time.Since(started)}, nil
 }
 
 // fail marks the response as failed.
--- a/internal/connection/entry/server.go
+++ b/internal/connection/entry/server.go
@@ -210,12 +210,23 @@
 	s.runs.add(r)
 	s.done.Go(func() {
 		defer r.cancel()
-		completion := r.execute(s.client)
+		completion, err := r.execute(s.client)
+		if err != nil && r.ctx.Err() == nil {
+			s.logBroken(r, completion, err)
+		}
 		s.gate.Finish(r.attempt, completion)
 		s.runs.markEnded(r, s.gate.State().Epoch)
 	})
 }
 
+// logBroken logs a run that has no complete response, although nobody canceled it.
+func (s *Server) logBroken(r *run, c gate.Completion, cause error) {
+	s.log.Info(events.AttemptBroken, events.Fields{
+		"request": r.attempt.RequestID, "account": r.attempt.Account, "endpoint": s.name,
+		"tookMs": c.Total.Milliseconds(), "begun": r.response.Begun(), "error": cause.Error(),
+	})
+}
+
 func (s *Server) gateState() *wire.GateState { return GateToWire(s.gate.State()) }
 
 // GateToWire converts a snapshot of a gate to its message.
--- a/internal/request/response/buffer.go
+++ b/internal/request/response/buffer.go
@@ -212,6 +212,13 @@
 	return len(b.data)
 }
 
+// Begun reports whether any bytes of the body were written.
+func (b *Buffer) Begun() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.base > 0 || len(b.data) > 0
+}
+
 // Drained reports whether the response is complete and all of it acknowledged.
 func (b *Buffer) Drained() bool {
 	b.mu.Lock()
--- a/internal/request/transport/transport.go
+++ b/internal/request/transport/transport.go
@@ -39,7 +39,10 @@
 }
 
 // Broken says that the transport broke; whether the request ran is unknown.
-type Broken struct{}
+type Broken struct {
+	// Cause is nil if it is not known.
+	Cause error
+}
 
 func (Head) isEvent()    {}
 func (Data) isEvent()    {}
