Refuse responses whose status is not a final one of HTTP

What callers saw: an endpoint in trouble answered with status 000. The goroutine that served the caller panicked ("invalid WriteHeader code 0", also for 099 and +20), so that the connection closed without an answer or a log line of the request. 600 and 999 were passed on, and 101 as well, although no caller had asked for another protocol: what follows it counts as the bytes of that protocol.

Cause: net/http accepts any status of three characters that strconv.Atoi takes, and neither entries nor sidecars checked it.

Fix: the transport of all HTTP clients returns an error for a status outside 200 to 599. The attempt is then broken: the caller gets 502, since the request may have run, or another endpoint's response if it may be repeated. A link checks the heads that sidecars send and ends the attempt as one that may have run. Resuming it, as after a lost connection, would bring the same head again. Unusual valid statuses, responses without a body and interim responses stay served (specs that passed before).

--- a/internal/connection/endpoint/endpoint.go
+++ b/internal/connection/endpoint/endpoint.go
@@ -111,7 +111,7 @@
 	}
 }
 
-func newTransport(dial DialFunc, unpooled bool) http.RoundTripper {
+func newTransport(dial DialFunc, unpooled bool) *http1.Transport {
 	return http1.NewTransport(&http.Transport{
 		DialContext:         dial,
 		DisableKeepAlives:   unpooled,
--- a/internal/connection/sidecar/link.go
+++ b/internal/connection/sidecar/link.go
@@ -16,6 +16,7 @@
 	"github.com/cicadareel/cicadareel/internal/connection/peer"
 	"github.com/cicadareel/cicadareel/internal/connection/wire"
 	"github.com/cicadareel/cicadareel/internal/events"
+	"github.com/cicadareel/cicadareel/internal/http1"
 	"github.com/cicadareel/cicadareel/internal/metrics"
 	"github.com/cicadareel/cicadareel/internal/outcome"
 	"github.com/cicadareel/cicadareel/internal/request/transport"
@@ -265,7 +266,7 @@
 	switch b := f.GetKind().(type) {
 	case *wire.SidecarFrame_Head:
 		if x := k.findExchange(b.Head.GetId()); x != nil {
-			x.push(transport.Head{Status: int(b.Head.GetStatus()), Header: headerFromWire(b.Head.GetHeaders())})
+			k.deliverHead(x, b.Head)
 		}
 	case *wire.SidecarFrame_Data:
 		if x := k.findExchange(b.Data.GetId()); x != nil {
@@ -282,6 +283,19 @@
 	}
 }
 
+// deliverHead passes the head of a response to its exchange, or ends the exchange if the
+// head is not valid.
+func (k *Link) deliverHead(x *Exchange, m *wire.Head) {
+	head := transport.Head{Status: int(m.GetStatus()), Header: headerFromWire(m.GetHeaders())}
+	if err := http1.CheckHead(head.Status); err != nil {
+		k.metrics.CountMalformed()
+		k.log.Warn(events.PeerMessageMalformed, events.Fields{"endpoint": k.endpoint, "request": x.id.GetRequestId(), "error": err.Error()})
+		x.push(transport.Refused{Reason: outcome.EndpointBroke, MayHaveRun: true})
+		return
+	}
+	x.push(head)
+}
+
 func headerFromWire(fields []*wire.Header) http.Header {
 	header := make(http.Header, len(fields))
 	for _, f := range fields {
--- a/internal/process/entry/brokenresponse_test.go
+++ b/internal/process/entry/brokenresponse_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 
@@ -91,6 +92,16 @@
 	}
 }
 
+// expectPassedOn expects the endpoint's response.
+func expectPassedOn(a rawAnswer, status int, body string) {
+	GinkgoHelper()
+	Expect(a.status).To(Equal(status))
+	Expect(a.complete).To(BeTrue())
+	Expect(a.body).To(Equal(body))
+	Expect(a.header.Get("X-Upstream-Signature")).To(Equal("s"))
+	Expect(a.errors).To(BeEmpty())
+}
+
 const signed = "X-Upstream-Signature: s\r\n"
 
 var _ = Describe("a broken response of an endpoint", func() {
@@ -105,4 +116,32 @@
 			expectOutcomeUnknown(answerOf("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", standin.KeepOpen{}, path), "not the endpoint's own")
 		})
 	})
+
+	DescribeTable("with a status that is not the final one of HTTP is refused", func(status string) {
+		eachRoute(func(path string) {
+			for _, body := range []string{"Content-Length: 4\r\n" + signed + "\r\nbody", signed + "\r\nbody"} {
+				expectOutcomeUnknown(answerOf("HTTP/1.1 "+status+" Trouble\r\n"+body, standin.Close{}, path), "invalid status")
+			}
+		})
+	},
+		Entry(nil, "000"), Entry(nil, "099"), Entry(nil, "+20"), Entry(nil, "101"), Entry(nil, "600"), Entry(nil, "999"))
+})
+
+var _ = Describe("a sound response of an endpoint", func() {
+	DescribeTable("with an unusual status is passed on", func(status int) {
+		for _, path := range []string{"/book/x", "/once/x"} {
+			expectPassedOn(answerOf(fmt.Sprintf("HTTP/1.1 %d \r\nContent-Length: 4\r\n%s\r\nbody", status, signed), standin.Close{}, path), status, "body")
+		}
+	},
+		Entry(nil, 203), Entry(nil, 299), Entry(nil, 306), Entry(nil, 399), Entry(nil, 418), Entry(nil, 451), Entry(nil, 499),
+		Entry(nil, 500), Entry(nil, 511), Entry(nil, 599))
+
+	DescribeTable("without a body is passed on", func(status int) {
+		expectPassedOn(answerOf(fmt.Sprintf("HTTP/1.1 %d X\r\n%s\r\n", status, signed), standin.KeepOpen{}, "/book/x"), status, "")
+	}, Entry(nil, 204), Entry(nil, 304))
+
+	It("after interim responses is passed on", func() {
+		interim := "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 199 X\r\n\r\n"
+		expectPassedOn(answerOf(interim+"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"+signed+"\r\nbody", standin.Close{}, "/book/x"), 200, "body")
+	})
 })
--- a/internal/request/transport/transport.go
+++ b/internal/request/transport/transport.go
@@ -15,6 +15,7 @@
 
 // Head carries the status and header fields of the response.
 type Head struct {
+	// Status is from 200 to 599.
 	Status int
 	Header http.Header
 }
--- a/internal/standin/rawserver.go
+++ b/internal/standin/rawserver.go
@@ -36,14 +36,16 @@
 // with long bodies fill the buffers of the connection in that time.
 const resetDelay = 5 * time.Millisecond
 
-// RawServer responds to the head of each request with the same bytes, whatever they are.
+// RawServer responds to the head of each request with the same bytes, valid or not.
 type RawServer struct {
 	Response string
 	Ending   Ending
+	// Healthy makes GET requests, such as probes, get an empty response with status 200.
+	Healthy  bool
 	requests atomic.Int64
 }
 
-// Requests returns the number of requests whose heads were read.
+// Requests returns the number of requests that got Response.
 func (s *RawServer) Requests() int { return int(s.requests.Load()) }
 
 // Serve accepts connections until the listener is closed.
@@ -67,6 +69,10 @@
 		if err != nil {
 			return
 		}
+		if s.Healthy && r.Method == http.MethodGet {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
 		s.requests.Add(1)
 		if _, err := io.WriteString(c, s.Response); err != nil {
 			return
