Refuse responses with field names that HTTP forbids

What callers saw: a response whose head has a field name with a blank was passed on as sound, without that line. If the line was "Content-Length :" or "Transfer-Encoding :", the caller got everything up to the end of the connection, or the lines between the chunks, as the body.

Cause: net/http keeps a name with blanks as it is, so that it does not recognize the field, and its server drops such names when it writes. Other forbidden bytes in names and values (tabs, control bytes, DEL, bytes over 127 in names, no name, no colon) already made net/http fail: the caller got 502.

Fix: the transport of all HTTP clients, and links for the heads that sidecars send, check names and values by the grammar of HTTP (golang.org/x/net/http/httpguts). Unusual valid names, values with bytes over 127, empty ones and fields over several lines stay served.

--- a/internal/connection/sidecar/head_test.go
+++ b/internal/connection/sidecar/head_test.go
@@ -41,6 +41,14 @@
 		expectRefused(&wire.Head{Status: int32(status)}, "invalid status")
 	}, Entry(nil, -1), Entry(nil, 0), Entry(nil, 99), Entry(nil, 101), Entry(nil, 199), Entry(nil, 600), Entry(nil, 1000))
 
+	DescribeTable("refuses a response with an invalid field", func(name, value, cause string) {
+		expectRefused(&wire.Head{Status: 200, Headers: []*wire.Header{{Name: "X-Sound", Values: []string{"v"}}, {Name: name, Values: []string{"v", value}}}}, cause)
+	},
+		Entry("no name", "", "v", "invalid field name"), Entry("blank in the name", "X Trouble", "v", "invalid field name"),
+		Entry("control byte in the name", "X\x01", "v", "invalid field name"), Entry("line end in the name", "X: v\r\nY", "v", "invalid field name"),
+		Entry("NUL in the value", "X", "a\x00", "invalid value"), Entry("line end in the value", "X", "a\r\nY: b", "invalid value"),
+		Entry("DEL in the value", "X", "\x7f", "invalid value"))
+
 	DescribeTable("passes on any valid status", func(status int) {
 		event, log := deliver(&wire.Head{Status: int32(status)})
 		Expect(event).To(HaveField("Status", status))
--- a/internal/connection/sidecar/link.go
+++ b/internal/connection/sidecar/link.go
@@ -287,7 +287,7 @@
 // head is not valid.
 func (k *Link) deliverHead(x *Exchange, m *wire.Head) {
 	head := transport.Head{Status: int(m.GetStatus()), Header: headerFromWire(m.GetHeaders())}
-	if err := http1.CheckHead(head.Status); err != nil {
+	if err := http1.CheckHead(head.Status, head.Header); err != nil {
 		k.metrics.CountMalformed()
 		k.log.Warn(events.PeerMessageMalformed, events.Fields{"endpoint": k.endpoint, "request": x.id.GetRequestId(), "error": err.Error()})
 		x.push(transport.Refused{Reason: outcome.EndpointBroke, MayHaveRun: true})
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckHead(resp.StatusCode); err != nil {
+	if err := CheckHead(resp.StatusCode, resp.Header); err != nil {
 		_ = resp.Body.Close()
 		return nil, err
 	}
--- a/internal/process/entry/brokenresponse_test.go
+++ b/internal/process/entry/brokenresponse_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -125,6 +127,24 @@
 		})
 	},
 		Entry(nil, "000"), Entry(nil, "099"), Entry(nil, "+20"), Entry(nil, "101"), Entry(nil, "600"), Entry(nil, "999"))
+
+	for _, problem := range slices.Sorted(maps.Keys(standin.InvalidFields)) {
+		field := standin.InvalidFields[problem]
+		It("with a field that HTTP forbids is refused: "+problem, func() {
+			eachRoute(func(path string) {
+				expectOutcomeUnknown(answerOf("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"+field+"\r\n"+signed+"\r\nbody", standin.Close{}, path), "")
+			})
+		})
+	}
+
+	DescribeTable("that hides its length or its chunks behind a blank is refused", func(field, body string) {
+		eachRoute(func(path string) {
+			expectOutcomeUnknown(answerOf("HTTP/1.1 200 OK\r\n"+field+"\r\n"+signed+"\r\n"+body, standin.Close{}, path), "")
+		})
+	},
+		Entry("blank, length", "Content-Length : 4", "body and more"), Entry("tab, length", "Content-Length\t: 4", "body and more"),
+		Entry("blank, chunks", "Transfer-Encoding : chunked", "4\r\nbody\r\n0\r\n\r\n"),
+		Entry("tab, chunks", "Transfer-Encoding\t: chunked", "4\r\nbody\r\n0\r\n\r\n"))
 })
 
 var _ = Describe("a sound response of an endpoint", func() {
@@ -144,4 +164,18 @@
 		interim := "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 199 X\r\n\r\n"
 		expectPassedOn(answerOf(interim+"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"+signed+"\r\nbody", standin.Close{}, "/book/x"), 200, "body")
 	})
+
+	DescribeTable("with an unusual field is passed on", func(name, value string) {
+		a := answerOf("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"+name+": "+value+"\r\n"+signed+"\r\nbody", standin.Close{}, "/book/x")
+		expectPassedOn(a, 200, "body")
+		Expect(a.header).To(HaveKeyWithValue(http.CanonicalHeaderKey(name), []string{value}))
+	},
+		Entry("every character of a name", "!#$%&'*+-.^_`|~09az", "v"), Entry("no value", "X-Empty", ""),
+		Entry("tab within the value", "X-Tab", "a\tb"), Entry("bytes over 127", "X-Text", "caf\xe9 \xff"))
+
+	It("with a field over several lines is passed on", func() {
+		a := answerOf("HTTP/1.1 200 OK\r\nX-Long: a\r\n b\r\n\tc\r\nContent-Length:\r\n 4\r\n"+signed+"\r\nbody", standin.Close{}, "/book/x")
+		expectPassedOn(a, 200, "body")
+		Expect(a.header.Get("X-Long")).To(Equal("a b c"))
+	})
 })
--- a/internal/proof/brokenresponse_test.go
+++ b/internal/proof/brokenresponse_test.go
@@ -1,6 +1,8 @@
 package proof
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -57,4 +59,20 @@
 		expectPassedOn("HTTP/1.1 299 \r\nContent-Length: 4\r\n\r\nbody", 299, "body")
 		expectPassedOn("HTTP/1.1 599 X\r\n\r\nbody", 599, "body")
 	})
+
+	for _, problem := range slices.Sorted(maps.Keys(standin.InvalidFields)) {
+		field := standin.InvalidFields[problem]
+		It("with a field that HTTP forbids is refused: "+problem, func() {
+			expectBroken("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n" + field + "\r\n\r\nbody")
+		})
+	}
+
+	It("that hides its length or its chunks behind a blank is refused", func() {
+		expectBroken("HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody and more")
+		expectBroken("HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n")
+	})
+
+	It("with an unusual field is passed on", func() {
+		expectPassedOn("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n!#$%&'*+-.^_`|~09az: a\tb\r\nX-Long: a\r\n b\r\n\r\nbody", 200, "body")
+	})
 })
--- a/internal/request/transport/transport.go
+++ b/internal/request/transport/transport.go
@@ -17,6 +17,7 @@
 type Head struct {
 	// Status is from 200 to 599.
 	Status int
+	// Header has names and values that HTTP allows.
 	Header http.Header
 }
 
