Refuse responses whose framing contradicts itself

What callers saw: a response with both Content-Length and chunks was passed on without the length, although nobody knows which of the two is true. One in HTTP/1.0 with chunks was passed on with the lines between the chunks in its body. One with status 204 was passed on with the Content-Length of a body that status cannot have. Responses in HTTP/2.0 or 0.9 syntax counted as HTTP/1.1.

Cause: net/http resolves these contradictions by itself and drops the field that loses, so that the response does not show them.

Two lengths, a length that is no number, and unknown codings made net/http fail before as well; their specs stay.

Fix: a connection keeps what it reads from the moment net/http takes it for a request until the head of the response is there.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -19,6 +20,8 @@
 
 // conn is a client's connection. The kernel reports a reset once, to a read or to a write;
 // after a write got it, reads see an orderly end. On a conn, they see the reset as well.
+//
+// A conn can keep what it reads, since net/http drops fields of a head that contradict others.
 type conn struct {
 	net.Conn
 
@@ -26,6 +29,12 @@
 	writing chan struct{}
 	// writeErr is the error of the first write that failed. It is guarded by writing.
 	writeErr error
+
+	mu sync.Mutex
+	// recording is true while what is read may belong to the head of a response.
+	recording bool
+	// received is what was read since the last call of record; nil after takeReceived.
+	received []byte
 }
 
 func newConn(c net.Conn) *conn { return &conn{Conn: c, writing: make(chan struct{}, 1)} }
@@ -44,6 +53,7 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.keep(p[:n])
 	if err == io.EOF { //nolint:errorlint // net.Conn returns io.EOF itself
 		err = c.endOfInput()
 	}
@@ -66,3 +76,28 @@
 	}
 	return &ResetError{Cause: c.writeErr}
 }
+
+// record begins to keep what is read.
+func (c *conn) record() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recording, c.received = true, nil
+}
+
+// keep adds what was read, if it is being kept.
+func (c *conn) keep(p []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.recording {
+		c.received = append(c.received, p...)
+	}
+}
+
+// takeReceived ends keeping and returns what was read since record.
+func (c *conn) takeReceived() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	received := c.received
+	c.recording, c.received = false, nil
+	return received
+}
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
 // Transport is an http.RoundTripper that returns valid responses only. The body of a
@@ -40,13 +41,32 @@
 // RoundTrip implements http.RoundTripper. The error is an *InvalidResponseError if there is a
 // response that is not valid; else it is that of net/http.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.inner.RoundTrip(r)
+	var used *conn
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		if c, ok := i.Conn.(*conn); ok {
+			c.record()
+			used = c
+		}
+	}})
+	resp, err := t.inner.RoundTrip(r.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckHead(resp.StatusCode, resp.Header); err != nil {
+	if err := check(resp, used); err != nil {
 		_ = resp.Body.Close()
+		if used != nil {
+			_ = used.Close()
+		}
 		return nil, err
 	}
 	return resp, nil
 }
+
+// check returns an *InvalidResponseError if the head of a response is not valid. used is nil
+// if the connection has no conn at its end, but TLS.
+func check(resp *http.Response, used *conn) error {
+	if err := CheckHead(resp.StatusCode, resp.Header); err != nil || used == nil {
+		return err
+	}
+	return checkFraming(resp, finalHead(used.takeReceived()))
+}
--- a/internal/process/entry/brokenresponse_test.go
+++ b/internal/process/entry/brokenresponse_test.go
@@ -145,6 +145,18 @@
 		Entry("blank, length", "Content-Length : 4", "body and more"), Entry("tab, length", "Content-Length\t: 4", "body and more"),
 		Entry("blank, chunks", "Transfer-Encoding : chunked", "4\r\nbody\r\n0\r\n\r\n"),
 		Entry("tab, chunks", "Transfer-Encoding\t: chunked", "4\r\nbody\r\n0\r\n\r\n"))
+
+	DescribeTable("whose framing disagrees with itself is refused", func(version, fields, cause string) {
+		eachRoute(func(path string) {
+			expectOutcomeUnknown(answerOf(version+" 200 OK\r\n"+fields+signed+"\r\n4\r\nbody\r\n0\r\n\r\n", standin.Close{}, path), cause)
+		})
+	},
+		Entry("length and chunks", "HTTP/1.1", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", "both Content-Length and Transfer-Encoding"),
+		Entry("chunks in HTTP/1.0", "HTTP/1.0", "Transfer-Encoding: chunked\r\n", "Transfer-Encoding in HTTP/1.0"),
+		Entry("two lengths", "HTTP/1.1", "Content-Length: 4\r\nContent-Length: 5\r\n", ""),
+		Entry("length that is no number", "HTTP/1.1", "Content-Length: +4\r\n", ""),
+		Entry("unknown coding", "HTTP/1.1", "Transfer-Encoding: gzip, chunked\r\n", ""),
+		Entry("another protocol", "HTTP/2.0", "Content-Length: 4\r\n", "version HTTP/2.0"))
 })
 
 var _ = Describe("a sound response of an endpoint", func() {
--- a/internal/proof/brokenresponse_test.go
+++ b/internal/proof/brokenresponse_test.go
@@ -75,4 +75,10 @@
 	It("with an unusual field is passed on", func() {
 		expectPassedOn("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n!#$%&'*+-.^_`|~09az: a\tb\r\nX-Long: a\r\n b\r\n\r\nbody", 200, "body")
 	})
+
+	It("whose framing disagrees with itself is refused", func() {
+		expectBroken("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n")
+		expectBroken("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n")
+		expectBroken("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody")
+	})
 })
--- a/internal/standin/rawserver.go
+++ b/internal/standin/rawserver.go
@@ -48,17 +48,22 @@
 // Requests returns the number of requests that got Response.
 func (s *RawServer) Requests() int { return int(s.requests.Load()) }
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until the listener is closed, and then closes them.
 func (s *RawServer) Serve(l net.Listener) {
-	var connections sync.WaitGroup
-	defer connections.Wait()
+	var serving sync.WaitGroup
+	connections := []net.Conn{}
 	for {
 		c, err := l.Accept()
 		if err != nil {
-			return
+			break
 		}
-		connections.Go(func() { s.serveConnection(c) })
+		connections = append(connections, c)
+		serving.Go(func() { s.serveConnection(c) })
+	}
+	for _, c := range connections {
+		_ = c.Close()
 	}
+	serving.Wait()
 }
 
 func (s *RawServer) serveConnection(c net.Conn) {
